--- /dev/null
+++ b/packages/fleet/budget_duty.cpp
@@ -0,0 +1,116 @@
+#include "budget_duty.h"
+
+#include "address.h"
+
+#include <algorithm>
+
+namespace cassiaspan {
+
+namespace {
+
+constexpr milliseconds idle_look{100};
+// A workspace that still runs short asks the same lender again after this time.
+constexpr milliseconds urgent_interval{40};
+
+std::optional<schema::Member> find_member(const schema::Head& head, std::uint64_t incarnation) {
+    for (const auto& list : head.lists()) {
+        for (const auto& member : list.members()) {
+            if (member.incarnation() == incarnation) {
+                return member;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+budget_duty::budget_duty(milliseconds loan_in, budget_book& budgets_in, node_state& node_in, peer_caller& peers_in,
+                         const clock& clock_in)
+    : loan(loan_in), budgets(budgets_in), node(node_in), peers(peers_in), time(clock_in) {}
+
+budget_duty::~budget_duty() { this->stop(); }
+
+void budget_duty::stop() {
+    this->stopping = true;
+    this->budgets.stop();
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+void budget_duty::start() {
+    this->thread = std::thread([this] { this->run(); });
+}
+
+void budget_duty::run() {
+    while (!this->stopping) {
+        this->budgets.wait_for_need(idle_look);
+        for (const borrow_wish& wish : this->budgets.wishes()) {
+            this->ask_lenders(wish);
+        }
+    }
+}
+
+// A loan is renewed at half its time, and asked for anew when much more is wanted.
+bool budget_duty::is_due(const lender_state& state, share wanted) const {
+    const nanoseconds age = this->time.now() - state.asked;
+    if (state.asking || age < urgent_interval) {
+        return false;
+    }
+    const bool more = wanted.rate > state.wanted.rate + state.wanted.rate / 4 || wanted.cap > state.wanted.cap;
+    return more || age > this->loan / 2;
+}
+
+void budget_duty::ask_lenders(const borrow_wish& wish) {
+    const auto generation = this->node.current();
+    if (!generation) {
+        return;
+    }
+    // Each lender is asked for twice its part: some will have nothing to spare.
+    const auto count = static_cast<std::int64_t>(wish.lenders.size());
+    const share part{std::min(wish.wanted.rate, 2 * wish.wanted.rate / count + 1),
+                     std::min(wish.wanted.cap, 2 * wish.wanted.cap / count + 1)};
+    for (const std::uint64_t lender : wish.lenders) {
+        const auto member = find_member(generation->head, lender);
+        bool due = false;
+        {
+            const std::scoped_lock lock(this->mutex);
+            lender_state& state = this->lenders[{wish.workspace, lender}];
+            due = member && this->is_due(state, part);
+            if (due) {
+                state = {true, this->time.now(), part};
+            }
+        }
+        if (due) {
+            this->ask(wish, *member, part);
+        }
+    }
+}
+
+void budget_duty::ask(const borrow_wish& wish, const schema::Member& lender, share wanted) {
+    const lender_key key{wish.workspace, lender.incarnation()};
+    const auto address = parse_address(lender.peer_address());
+    schema::PeerRequest request;
+    request.mutable_borrow()->set_workspace(wish.workspace);
+    request.mutable_borrow()->set_rate(wanted.rate);
+    request.mutable_borrow()->set_cap(wanted.cap);
+    const instant asked = this->time.now();
+    const auto on_result = [this, key, asked](const peer_result& result) {
+        // Counted from the asking, so that the loan ends here before it ends at the lender.
+        if (result && result->borrow().duration_ms() > 0) {
+            const auto& reply = result->borrow();
+            this->budgets.accept(key.workspace, key.lender, {{reply.rate(), reply.cap()}, reply.tokens()},
+                                 asked + milliseconds{reply.duration_ms()});
+        }
+        const std::scoped_lock lock(this->mutex);
+        this->lenders[key].asking = false;
+    };
+    if (!address) {
+        on_result(tl::make_unexpected(peer_failure::unreachable));
+        return;
+    }
+    this->peers.call(*address, lender.incarnation(), std::move(request), on_result);
+}
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/policy/address.h
@@ -0,0 +1,21 @@
+// An IP address with a port.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace cassiaspan {
+
+// A numeric IPv4 or IPv6 address and a port.
+struct socket_address {
+    std::string host;
+    std::uint16_t port = 0;
+    auto operator<=>(const socket_address&) const = default;
+};
+
+// Parses "10.0.0.7:8080" or "[::1]:8080". Host names are refused.
+[[nodiscard]] std::optional<socket_address> parse_address(const std::string& text);
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/policy/config_view.cpp
@@ -0,0 +1,147 @@
+#include "config_view.h"
+
+#include "config_check.h"
+#include "digest.h"
+
+#include <algorithm>
+#include <cmath>
+#include <google/protobuf/util/time_util.h>
+
+namespace cassiaspan {
+
+namespace {
+
+using google::protobuf::util::TimeUtil;
+using zone_regions = std::unordered_map<std::string, std::string>;
+using wall_time = std::chrono::system_clock::time_point;
+
+constexpr seconds default_retention = std::chrono::hours{24};
+
+zone_regions map_zones(const schema::Configuration& configuration) {
+    zone_regions regions;
+    for (const auto& region : configuration.regions()) {
+        for (const std::string& zone : region.availability_zones()) {
+            regions[zone] = region.name();
+        }
+    }
+    return regions;
+}
+
+bool is_subject(const schema::Drain& drain, const target_view& target) {
+    switch (drain.subject_case()) {
+    case schema::Drain::kTarget:
+        return drain.target() == target.name;
+    case schema::Drain::kAvailabilityZone:
+        return drain.availability_zone() == target.availability_zone;
+    case schema::Drain::kRegion:
+        return drain.region() == target.region;
+    case schema::Drain::SUBJECT_NOT_SET:
+        break;
+    }
+    return false;
+}
+
+std::optional<wall_time> find_leaving_time(const schema::Configuration& configuration, const target_view& target) {
+    std::optional<wall_time> first;
+    for (const auto& drain : configuration.drains()) {
+        if (is_subject(drain, target)) {
+            const wall_time start{seconds{drain.start().seconds()}};
+            first = first ? std::min(*first, start) : start;
+        }
+    }
+    return first;
+}
+
+service_view make_service(const schema::Configuration& configuration, const schema::Service& source,
+                          const zone_regions& regions) {
+    service_view service{source.name(),
+                         source.path_prefix(),
+                         source.open(),
+                         {source.non_idempotent_methods().begin(), source.non_idempotent_methods().end()},
+                         source.slots_per_target(),
+                         source.max_connections_per_target(),
+                         {}};
+    if (service.non_idempotent_methods.empty()) {
+        service.non_idempotent_methods = {"POST", "PATCH"};
+    }
+    for (const auto& entry : source.targets()) {
+        target_view target{entry.name(), entry.address(), entry.availability_zone(),
+                           regions.at(entry.availability_zone()), std::nullopt};
+        target.leaves_at = find_leaving_time(configuration, target);
+        service.targets.push_back(std::move(target));
+    }
+    return service;
+}
+
+workspace_view make_workspace(const schema::Workspace& source) {
+    workspace_view workspace;
+    workspace.name = source.name();
+    workspace.services = {source.services().begin(), source.services().end()};
+    workspace.contract = {std::llround(source.rate_per_second() * micro_requests),
+                          static_cast<std::int64_t>(source.burst_requests()) * micro_requests};
+    workspace.home_region = source.home_region();
+    workspace.idempotency_retention =
+        source.has_idempotency_retention()
+            ? milliseconds{TimeUtil::DurationToMilliseconds(source.idempotency_retention())}
+            : milliseconds{default_retention};
+    workspace.weight = std::max<std::size_t>(1, source.weight());
+    workspace.availability_ratio = source.objective().availability_ratio();
+    workspace.latency_objective = milliseconds{TimeUtil::DurationToMilliseconds(source.objective().latency())};
+    workspace.latency_ratio = source.objective().latency_ratio();
+    return workspace;
+}
+
+} // namespace
+
+tl::expected<std::shared_ptr<const config_view>, findings> config_view::make(const schema::Configuration& configuration) {
+    findings found = check_configuration(configuration);
+    if (!found.empty()) {
+        return tl::make_unexpected(std::move(found));
+    }
+    const zone_regions regions = map_zones(configuration);
+    auto view = std::make_shared<config_view>();
+    view->configuration = configuration;
+    for (const auto& source : configuration.services()) {
+        view->service_by_prefix[source.path_prefix()] = view->service_list.size();
+        view->service_list.push_back(make_service(configuration, source, regions));
+    }
+    for (const auto& source : configuration.workspaces()) {
+        for (const auto& key : source.keys()) {
+            view->workspace_by_key_digest[key.sha256()] = view->workspace_list.size();
+        }
+        view->workspace_list.push_back(make_workspace(source));
+    }
+    return std::shared_ptr<const config_view>(std::move(view));
+}
+
+const workspace_view* config_view::find_by_key(std::string_view key) const {
+    const auto found = this->workspace_by_key_digest.find(sha256_hex(key));
+    return found == this->workspace_by_key_digest.end() ? nullptr : &this->workspace_list[found->second];
+}
+
+const service_view* config_view::find_by_path(std::string_view path) const {
+    if (path.empty() || path.front() != '/') {
+        return nullptr;
+    }
+    // A prefix ends where the path ends or at one of its slashes, so only those need to be tried.
+    for (std::size_t length = path.size(); length > 0; length = path.rfind('/', length - 1)) {
+        const auto found = this->service_by_prefix.find(std::string(path.substr(0, length)));
+        if (found != this->service_by_prefix.end()) {
+            return &this->service_list[found->second];
+        }
+    }
+    const auto root = this->service_by_prefix.find("/");
+    return root == this->service_by_prefix.end() ? nullptr : &this->service_list[root->second];
+}
+
+const service_view* config_view::find_service(std::string_view name) const {
+    const auto found = std::find_if(this->service_list.begin(), this->service_list.end(),
+                                    [name](const service_view& service) { return service.name == name; });
+    return found == this->service_list.end() ? nullptr : &*found;
+}
+
+bool is_non_idempotent(const service_view& service, const std::string& method) {
+    return service.non_idempotent_methods.count(method) != 0;
+}
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/policy/members.cpp
@@ -0,0 +1,182 @@
+#include "members.h"
+
+#include "digest.h"
+
+#include <algorithm>
+#include <map>
+
+namespace cassiaspan {
+
+namespace {
+
+// Rendezvous hashing: the member with the highest weight comes first.
+template <class Member> std::vector<Member> rank(std::vector<Member> members, const std::string& subject) {
+    const std::uint64_t seed = stable_hash(subject);
+    const auto weight = [seed](const schema::Member& member) {
+        const std::uint64_t incarnation = member.incarnation();
+        return stable_hash({reinterpret_cast<const char*>(&incarnation), sizeof incarnation}, seed);
+    };
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    order.reserve(members.size());
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        order.emplace_back(weight(members[i]), i);
+    }
+    std::sort(order.rbegin(), order.rend());
+    std::vector<Member> ranked;
+    ranked.reserve(members.size());
+    for (const auto& entry : order) {
+        ranked.push_back(std::move(members[entry.second]));
+    }
+    return ranked;
+}
+
+std::vector<schema::Member> to_vector(const schema::MemberList& list) {
+    return {list.members().begin(), list.members().end()};
+}
+
+bool contains(const electorate& list, std::uint64_t incarnation) {
+    return std::find(list.begin(), list.end(), incarnation) != list.end();
+}
+
+bool same_members(const schema::MemberList& list, const std::vector<schema::Member>& members) {
+    electorate left;
+    electorate right;
+    for (const auto& member : list.members()) {
+        left.push_back(member.incarnation());
+    }
+    for (const auto& member : members) {
+        right.push_back(member.incarnation());
+    }
+    std::sort(left.begin(), left.end());
+    std::sort(right.begin(), right.end());
+    return left == right;
+}
+
+// Takes members from each availability zone in turn, those named already first, so that few records move.
+std::vector<schema::Member> spread_over_zones(const schema::MemberList& present,
+                                              const std::vector<schema::Member>& alive, std::size_t limit) {
+    electorate named;
+    for (const auto& member : present.members()) {
+        named.push_back(member.incarnation());
+    }
+    std::map<std::string, std::vector<schema::Member>> by_zone;
+    for (const auto& member : alive) {
+        by_zone[member.availability_zone()].push_back(member);
+    }
+    for (auto& [zone, members] : by_zone) {
+        std::sort(members.begin(), members.end(), [&](const schema::Member& a, const schema::Member& b) {
+            return std::make_pair(!contains(named, a.incarnation()), a.incarnation()) <
+                   std::make_pair(!contains(named, b.incarnation()), b.incarnation());
+        });
+    }
+    std::vector<schema::Member> chosen;
+    for (std::size_t round = 0; chosen.size() < std::min(limit, alive.size()); ++round) {
+        for (const auto& [zone, members] : by_zone) {
+            if (round < members.size() && chosen.size() < limit) {
+                chosen.push_back(members[round]);
+            }
+        }
+    }
+    return chosen;
+}
+
+} // namespace
+
+std::vector<electorate> electorates_of(const schema::Head& head) {
+    std::vector<electorate> lists;
+    for (const auto& list : head.lists()) {
+        electorate members;
+        for (const auto& member : list.members()) {
+            members.push_back(member.incarnation());
+        }
+        lists.push_back(std::move(members));
+    }
+    return lists;
+}
+
+electorate budget_holders(const schema::MemberList& list, const std::string& workspace) {
+    electorate holders;
+    for (const auto& member : rank(to_vector(list), workspace)) {
+        if (holders.size() < budget_holders_per_workspace) {
+            holders.push_back(member.incarnation());
+        }
+    }
+    return holders;
+}
+
+share base_share(const schema::Head& head, std::uint64_t self, const std::string& workspace, share contract) {
+    std::optional<share> smallest;
+    for (const auto& list : head.lists()) {
+        const electorate holders = budget_holders(list, workspace);
+        share part;
+        if (contains(holders, self)) {
+            const auto count = static_cast<std::int64_t>(holders.size());
+            part = {contract.rate / count, contract.cap / count};
+        }
+        smallest = smallest ? share{std::min(smallest->rate, part.rate), std::min(smallest->cap, part.cap)} : part;
+    }
+    return smallest.value_or(share{});
+}
+
+std::vector<schema::Member> record_homes(const schema::MemberList& list, const std::string& workspace,
+                                         const std::string& key, const std::string& home_region) {
+    std::vector<schema::Member> candidates;
+    for (const auto& member : list.members()) {
+        if (member.region() == home_region) {
+            candidates.push_back(member);
+        }
+    }
+    if (candidates.size() < homes_per_record) {
+        candidates = to_vector(list);
+    }
+    candidates = rank(std::move(candidates), workspace + '\n' + key);
+    if (candidates.size() < homes_per_record) {
+        return candidates;
+    }
+    const auto other_zone = std::find_if(candidates.begin() + 1, candidates.end(), [&](const schema::Member& member) {
+        return member.availability_zone() != candidates.front().availability_zone();
+    });
+    return {candidates.front(), other_zone == candidates.end() ? candidates[1] : *other_zone};
+}
+
+std::vector<schema::Member> record_homes(const schema::Head& head, const std::string& workspace,
+                                         const std::string& key, const std::string& home_region) {
+    std::vector<schema::Member> homes;
+    electorate seen;
+    for (int i = head.lists_size() - 1; i >= 0; --i) {
+        for (auto& member : record_homes(head.lists(i), workspace, key, home_region)) {
+            if (!contains(seen, member.incarnation())) {
+                seen.push_back(member.incarnation());
+                homes.push_back(std::move(member));
+            }
+        }
+    }
+    return homes;
+}
+
+bool is_record_lost(const schema::Head& head, const std::string& workspace, const std::string& key,
+                    const std::string& home_region, std::int64_t wall_now_s) {
+    return std::any_of(head.lost_homes().begin(), head.lost_homes().end(), [&](const schema::LostHomes& lost) {
+        const electorate ended{lost.ended().begin(), lost.ended().end()};
+        const auto homes = record_homes(lost.list(), workspace, key, home_region);
+        return lost.until_s() > wall_now_s && std::all_of(homes.begin(), homes.end(), [&](const schema::Member& home) {
+                   return contains(ended, home.incarnation());
+               });
+    });
+}
+
+std::optional<schema::MemberList> next_list(const schema::Head& head, const std::vector<schema::Member>& alive,
+                                            std::size_t limit) {
+    const schema::MemberList present = head.lists_size() > 0 ? head.lists(0) : schema::MemberList{};
+    std::vector<schema::Member> chosen = spread_over_zones(present, alive, limit);
+    if (chosen.empty() || same_members(present, chosen)) {
+        return std::nullopt;
+    }
+    schema::MemberList list;
+    for (const auto& member : chosen) {
+        *list.add_members() = member;
+    }
+    return list;
+}
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/policy/targets.cpp
@@ -0,0 +1,102 @@
+#include "targets.h"
+
+#include <algorithm>
+
+namespace cassiaspan {
+
+namespace {
+
+// A new target starts at this part of its slots and ramps up over the slow-start time.
+constexpr double slow_start_floor = 0.2;
+
+bool is_ejected(const target_state& state, instant now) { return state.ejected_until && *state.ejected_until > now; }
+
+double usable_slots(const service_view& service, const target_state& state, instant now) {
+    const double ramp = std::chrono::duration<double>(now - state.joined) / slow_start_time;
+    const auto slots = static_cast<double>(service.slots_per_target);
+    return std::max(1.0, slots * std::clamp(ramp, slow_start_floor, 1.0));
+}
+
+bool is_tried(const choice_input& input, std::size_t index) {
+    return std::find(input.tried.begin(), input.tried.end(), index) != input.tried.end();
+}
+
+bool is_serving(const choice_input& input, std::size_t index) {
+    return !is_leaving(input.service.targets[index], input.wall_now) &&
+           !is_ejected(input.states[index], input.now) && !is_tried(input, index);
+}
+
+bool has_room(const choice_input& input, std::size_t index) {
+    const target_state& state = input.states[index];
+    return estimate_load(state, input.now) < usable_slots(input.service, state, input.now) &&
+           state.in_flight < input.service.max_connections_per_target;
+}
+
+double relative_load(const choice_input& input, std::size_t index) {
+    const target_state& state = input.states[index];
+    return estimate_load(state, input.now) / usable_slots(input.service, state, input.now);
+}
+
+std::size_t pick_less_loaded(const choice_input& input, const std::vector<std::size_t>& candidates,
+                             random_engine& random) {
+    std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
+    const std::size_t first = candidates[draw(random)];
+    const std::size_t second = candidates[draw(random)];
+    return relative_load(input, second) < relative_load(input, first) ? second : first;
+}
+
+} // namespace
+
+double estimate_load(const target_state& state, instant now) {
+    const nanoseconds age = now - state.peers_reported;
+    const double trust = std::clamp(1.0 - std::chrono::duration<double>(age) / report_lifetime, 0.0, 1.0);
+    return static_cast<double>(state.in_flight) + trust * static_cast<double>(state.peers_in_flight);
+}
+
+bool is_leaving(const target_view& target, std::chrono::system_clock::time_point wall_now) {
+    return target.leaves_at && *target.leaves_at <= wall_now;
+}
+
+target_choice choose_target(const choice_input& input, random_engine& random) {
+    std::vector<std::size_t> local;
+    std::vector<std::size_t> remote;
+    bool serving = false;
+    for (std::size_t i = 0; i < input.states.size(); ++i) {
+        if (!is_serving(input, i)) {
+            continue;
+        }
+        serving = true;
+        if (has_room(input, i)) {
+            const bool near = input.service.targets[i].region == input.here.region;
+            (near ? local : remote).push_back(i);
+        }
+    }
+    const auto& candidates = local.empty() ? remote : local;
+    if (candidates.empty()) {
+        return {std::nullopt, serving ? no_target::all_busy : no_target::none_serving};
+    }
+    return {pick_less_loaded(input, candidates, random), no_target::none_serving};
+}
+
+bool note_outcome(std::vector<target_state>& states, std::size_t index, bool success, instant now) {
+    target_state& state = states[index];
+    if (success) {
+        state.failures_in_row = 0;
+        return false;
+    }
+    ++state.failures_in_row;
+    if (state.failures_in_row < failures_before_ejection || is_ejected(state, now)) {
+        return false;
+    }
+    const auto ejected = static_cast<std::size_t>(
+        std::count_if(states.begin(), states.end(), [now](const target_state& other) { return is_ejected(other, now); }));
+    if (ejected >= std::max<std::size_t>(1, states.size() / ejection_share_divisor)) {
+        return false;
+    }
+    state.ejected_until = now + ejection_time;
+    state.failures_in_row = 0;
+    state.joined = *state.ejected_until;
+    return true;
+}
+
+} // namespace cassiaspan
