--- a/packages/ctl/burn_report.cpp
+++ b/packages/ctl/burn_report.cpp
@@ -51,9 +51,10 @@
         for (const auto& [key, sum] : sums) {
             if (std::get<0>(key) == workspace.name() && !std::get<1>(key).empty()) {
                 const auto& objective = workspace.objective();
+                rows.push_back(make_row(key, "availability", objective.availability_ratio(), sum.requests(),
+                                        sum.failed()));
                 rows.push_back(
-                    make_row(key, "availability", objective.availability_ratio(), sum.requests(), sum.failed()));
-                rows.push_back(make_row(key, "latency", objective.latency_ratio(), sum.requests(), sum.slow()));
+                    make_row(key, "latency", objective.latency_ratio(), sum.requests(), sum.slow()));
             }
         }
     }
@@ -62,9 +63,9 @@
 
 std::string render_burn_table(const std::vector<burn_row>& rows) {
     std::ostringstream text;
-    text << std::left << std::setw(16) << "workspace" << std::setw(12) << "service" << std::setw(14) << "objective"
-         << std::right << std::setw(9) << "window" << std::setw(10) << "requests" << std::setw(8) << "bad"
-         << std::setw(10) << "burn" << std::setw(14) << "month used\n";
+    text << std::left << std::setw(16) << "workspace" << std::setw(12) << "service" << std::setw(14)
+         << "objective" << std::right << std::setw(9) << "window" << std::setw(10) << "requests"
+         << std::setw(8) << "bad" << std::setw(10) << "burn" << std::setw(14) << "month used\n";
     for (const burn_row& row : rows) {
         text << std::left << std::setw(16) << row.workspace << std::setw(12) << row.service << std::setw(14)
              << row.objective << std::right << std::setw(7) << row.window_s / 60 << " m" << std::setw(10)
--- a/packages/ctl/change.cpp
+++ b/packages/ctl/change.cpp
@@ -28,9 +28,13 @@
     return nullptr;
 }
 
-change_result done(std::uint64_t generation, const std::string& text) { return {exit_code::accepted, text, generation}; }
+change_result done(std::uint64_t generation, const std::string& text) {
+    return {exit_code::accepted, text, generation};
+}
 
-change_result fail(exit_code code, const std::string& text) { return {code, text, 0}; }
+change_result fail(exit_code code, const std::string& text) {
+    return {code, text, 0};
+}
 
 change_result conflict_with(const schema::Head& head) {
     std::string text = "conflict: generation " + std::to_string(head.generation()) + " is in force";
@@ -40,7 +44,8 @@
             return entry.operator_name() != "cassiaspan";
         });
         if (last != head.history().rend()) {
-            text += ", by change " + last->change_id() + " of " + last->operator_name() + " (" + last->summary() + ")";
+            text += ", by change " + last->change_id() + " of " + last->operator_name() + " (" +
+                    last->summary() + ")";
         }
     }
     return fail(exit_code::conflict, text);
@@ -125,14 +130,15 @@
         const std::string body = wanted.SerializeAsString();
         const std::string name = sha256_hex(body);
         if (name == head.configuration_name()) {
-            return done(head.generation(), "in force already, generation " + std::to_string(head.generation()));
+            return done(head.generation(),
+                        "in force already, generation " + std::to_string(head.generation()));
         }
         if (!write_body(store, name, body)) {
             continue;
         }
         // Whether a write without an answer took effect shows in the next round, by the change's name.
-        static_cast<void>(store.compare_and_swap(
-            head_key, make_head(head, request, name).SerializeAsString(), present->revision));
+        static_cast<void>(store.compare_and_swap(head_key, make_head(head, request, name).SerializeAsString(),
+                                                 present->revision));
     }
     return fail(exit_code::failed, "the store gave no clear answer to change " + request.change_id +
                                        "; run the command again, it changes nothing twice");
--- a/packages/ctl/change.h
+++ b/packages/ctl/change.h
@@ -1,5 +1,5 @@
-// Changes of the configuration: a compare-and-swap of the head, settled by reading when an answer is lost, and the wait
-// until a majority of the members hold it.
+// Changes of the configuration: a compare-and-swap of the head, settled by reading when an answer is lost,
+// and the wait until a majority of the members hold it.
 #pragma once
 
 #include "config.pb.h"
--- a/packages/ctl/commands.cpp
+++ b/packages/ctl/commands.cpp
@@ -40,7 +40,9 @@
     return static_cast<std::uint64_t>(device()) << 32U | device();
 }
 
-const std::string& word(const command_context& context, std::size_t index) { return context.options.words.at(index); }
+const std::string& word(const command_context& context, std::size_t index) {
+    return context.options.words.at(index);
+}
 
 bool connect(command_context& context) {
     const auto store = parse_address(context.options.store_address);
@@ -49,8 +51,8 @@
         context.error << "settings: --store-address and --vm-list-address are needed\n";
         return false;
     }
-    context.store.emplace(store_options{*store, *vms, store_timeout, store_calls_per_second, draw_random()}, context.guard,
-                          context.time);
+    context.store.emplace(store_options{*store, *vms, store_timeout, store_calls_per_second, draw_random()},
+                          context.guard, context.time);
     return true;
 }
 
@@ -183,8 +185,8 @@
         return exit_code::failed;
     }
     for (const auto& entry : present->head.history()) {
-        context.out << entry.generation() << "  " << entry.change_id() << "  " << entry.operator_name() << "  "
-                    << entry.summary() << "\n";
+        context.out << entry.generation() << "  " << entry.change_id() << "  " << entry.operator_name()
+                    << "  " << entry.summary() << "\n";
     }
     return exit_code::accepted;
 }
@@ -264,9 +266,10 @@
 exit_code run_drain_stop(command_context& context) {
     const auto edit = [&](schema::Configuration& configuration) -> findings {
         auto& drains = *configuration.mutable_drains();
-        drains.erase(std::remove_if(drains.begin(), drains.end(),
-                                    [&](const schema::Drain& drain) { return drain.name() == word(context, 2); }),
-                     drains.end());
+        drains.erase(
+            std::remove_if(drains.begin(), drains.end(),
+                           [&](const schema::Drain& drain) { return drain.name() == word(context, 2); }),
+            drains.end());
         return {};
     };
     return change(context, edit, "drain stop " + word(context, 2), true);
@@ -300,7 +303,8 @@
     }
     context.out << std::left << std::setw(12) << "VM" << std::setw(14) << "region" << std::setw(16) << "zone"
                 << std::setw(12) << "generation" << std::setw(10) << "licensed" << std::setw(7) << "relay"
-                << std::setw(9) << "leaving" << "licence\n";
+                << std::setw(9) << "leaving"
+                << "licence\n";
     for (const vm_status& row : read_vms(context)) {
         context.out << std::setw(12) << row.vm.name() << std::setw(14) << row.vm.region() << std::setw(16)
                     << row.vm.availability_zone();
@@ -309,9 +313,9 @@
             continue;
         }
         const auto& status = *row.status;
-        context.out << std::setw(12) << status.generation() << std::setw(10) << (status.licensed() ? "yes" : "no")
-                    << std::setw(7) << (status.relay() ? "yes" : "no") << std::setw(9)
-                    << (status.leaving() ? "yes" : "no") << status.licence_reason() << "\n";
+        context.out << std::setw(12) << status.generation() << std::setw(10)
+                    << (status.licensed() ? "yes" : "no") << std::setw(7) << (status.relay() ? "yes" : "no")
+                    << std::setw(9) << (status.leaving() ? "yes" : "no") << status.licence_reason() << "\n";
     }
     return exit_code::accepted;
 }
@@ -353,8 +357,8 @@
     const auto& services = workspace->services();
     const bool allowed = std::find(services.begin(), services.end(), word(context, 2)) != services.end();
     context.out << "workspace " << workspace->name() << (allowed ? " may" : " may not") << " call "
-                << word(context, 2) << "; fleet-wide " << workspace->rate_per_second() << " requests/s, burst "
-                << workspace->burst_requests() << "\n";
+                << word(context, 2) << "; fleet-wide " << workspace->rate_per_second()
+                << " requests/s, burst " << workspace->burst_requests() << "\n";
     for (const vm_status& row : read_vms(context)) {
         if (!row.status) {
             context.out << row.vm.name() << " does not answer\n";
@@ -364,16 +368,16 @@
                     << row.status->licence_reason() << ")";
         for (const auto& budget : row.status->budgets()) {
             if (budget.workspace() == workspace->name()) {
-                context.out << ", budget " << budget.tokens() << " of " << budget.cap_requests() << " requests, "
-                            << budget.rate_per_second() << "/s";
+                context.out << ", budget " << budget.tokens() << " of " << budget.cap_requests()
+                            << " requests, " << budget.rate_per_second() << "/s";
             }
         }
         context.out << "\n";
         for (const auto& target : row.status->targets()) {
             if (target.draining() || target.ejected() || target.in_flight() > 0) {
                 context.out << "  " << target.target() << ": " << target.in_flight() << " in flight"
-                            << (target.draining() ? ", draining" : "") << (target.ejected() ? ", ejected" : "")
-                            << "\n";
+                            << (target.draining() ? ", draining" : "")
+                            << (target.ejected() ? ", ejected" : "") << "\n";
             }
         }
     }
@@ -388,13 +392,18 @@
 };
 
 const std::vector<command_row>& command_rows() {
-    static const std::vector<command_row> rows{
-        {{"check"}, 1, run_check},           {{"apply"}, 1, run_apply},
-        {{"diff"}, 1, run_diff},             {{"history"}, 0, run_history},
-        {{"key", "add"}, 3, run_key_add},    {{"key", "withdraw"}, 2, run_key_withdraw},
-        {{"drain", "start"}, 3, run_drain_start}, {{"drain", "stop"}, 1, run_drain_stop},
-        {{"drain", "status"}, 0, run_drain_status}, {{"status"}, 0, run_status},
-        {{"burn"}, 0, run_burn},             {{"explain"}, 2, run_explain}};
+    static const std::vector<command_row> rows{{{"check"}, 1, run_check},
+                                               {{"apply"}, 1, run_apply},
+                                               {{"diff"}, 1, run_diff},
+                                               {{"history"}, 0, run_history},
+                                               {{"key", "add"}, 3, run_key_add},
+                                               {{"key", "withdraw"}, 2, run_key_withdraw},
+                                               {{"drain", "start"}, 3, run_drain_start},
+                                               {{"drain", "stop"}, 1, run_drain_stop},
+                                               {{"drain", "status"}, 0, run_drain_status},
+                                               {{"status"}, 0, run_status},
+                                               {{"burn"}, 0, run_burn},
+                                               {{"explain"}, 2, run_explain}};
     return rows;
 }
 
--- a/packages/ctl/ctl_options.cpp
+++ b/packages/ctl/ctl_options.cpp
@@ -70,7 +70,8 @@
     options::positional_options_description positional;
     positional.add("word", -1);
     try {
-        options::store(options::command_line_parser(arguments).options(all).positional(positional).run(), values);
+        options::store(options::command_line_parser(arguments).options(all).positional(positional).run(),
+                       values);
         options::store(options::parse_environment(describe(), map_variable), values);
     } catch (const options::error& error) {
         return tl::make_unexpected(findings{{"command line", error.what()}});
--- a/packages/ctl/fleet_reader.cpp
+++ b/packages/ctl/fleet_reader.cpp
@@ -20,7 +20,8 @@
         return std::nullopt;
     }
     connection_pool pool(*address);
-    const auto answer = exchange(pool, guard, {"GET", "/statusz", "text/plain", "", status_timeout, {}}, time);
+    const auto answer =
+        exchange(pool, guard, {"GET", "/statusz", "text/plain", "", status_timeout, {}}, time);
     schema::Status status;
     google::protobuf::util::JsonParseOptions options;
     options.ignore_unknown_fields = true;
--- a/packages/ctl/fleet_reader.h
+++ b/packages/ctl/fleet_reader.h
@@ -18,6 +18,7 @@
 };
 
 // Asks every VM of the list, several at a time.
-[[nodiscard]] std::vector<vm_status> read_fleet(const schema::VmList& list, watchdog& guard, const clock& time);
+[[nodiscard]] std::vector<vm_status> read_fleet(const schema::VmList& list, watchdog& guard,
+                                                const clock& time);
 
 } // namespace cassiaspan
--- a/packages/entry/admin_page.cpp
+++ b/packages/entry/admin_page.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 int answer(mg_connection* connection, int status, const std::string& type, const std::string& body) {
-    const std::string text = "HTTP/1.1 " + std::to_string(status) + " " + mg_get_response_code_text(connection, status) +
-                             "\r\nContent-Type: " + type + "\r\nContent-Length: " + std::to_string(body.size()) +
-                             "\r\n\r\n" + body;
+    const std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
+                             mg_get_response_code_text(connection, status) + "\r\nContent-Type: " + type +
+                             "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     mg_write(connection, text.data(), text.size());
     return status;
 }
@@ -71,7 +71,8 @@
         for (const auto& service : generation->configuration->services()) {
             for (const auto& target : service.targets) {
                 if (concerns(drain, target)) {
-                    entry->set_in_flight(entry->in_flight() + static_cast<std::uint32_t>(rows[target.name].in_flight));
+                    entry->set_in_flight(entry->in_flight() +
+                                         static_cast<std::uint32_t>(rows[target.name].in_flight));
                 }
             }
         }
@@ -117,7 +118,8 @@
         status.set_configuration_name(generation->head.configuration_name());
         const int lists = generation->head.lists_size();
         status.set_unsettled_lists(static_cast<std::uint64_t>(std::max(0, lists - 1)));
-        status.set_members(lists == 0 ? 0 : static_cast<std::uint64_t>(generation->head.lists(0).members_size()));
+        status.set_members(lists == 0 ? 0
+                                      : static_cast<std::uint64_t>(generation->head.lists(0).members_size()));
     }
     if (const auto age = parts.node.proof_age()) {
         status.set_proof_age_ms(
--- a/packages/entry/caller_connection.cpp
+++ b/packages/entry/caller_connection.cpp
@@ -64,7 +64,8 @@
 }
 
 bool caller_connection::write(std::string_view bytes) {
-    return bytes.empty() || mg_write(this->handle, bytes.data(), bytes.size()) == static_cast<int>(bytes.size());
+    return bytes.empty() ||
+           mg_write(this->handle, bytes.data(), bytes.size()) == static_cast<int>(bytes.size());
 }
 
 bool caller_connection::write_chunk(std::string_view bytes) {
@@ -91,9 +92,10 @@
     constexpr std::int64_t milliseconds_per_second = 1000;
     const std::int64_t retry_after =
         (value.retry_after.count() + milliseconds_per_second - 1) / milliseconds_per_second;
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + mg_get_response_code_text(this->handle, status) +
-                       "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                       "\r\nX-Request-Id: " + request_id + "\r\n";
+    std::string text =
+        "HTTP/1.1 " + std::to_string(status) + " " + mg_get_response_code_text(this->handle, status) +
+        "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\nX-Request-Id: " + request_id + "\r\n";
     if (retry_after > 0) {
         text += "Retry-After: " + std::to_string(retry_after) + "\r\n";
     }
@@ -104,9 +106,9 @@
 
 int caller_connection::answer(int status, const std::string& content_type, const std::string& body,
                               const std::string& request_id) {
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + mg_get_response_code_text(this->handle, status) +
-                       "\r\nContent-Type: " + content_type + "\r\nContent-Length: " + std::to_string(body.size()) +
-                       "\r\n";
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
+                       mg_get_response_code_text(this->handle, status) + "\r\nContent-Type: " + content_type +
+                       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
     if (!request_id.empty()) {
         text += "X-Request-Id: " + request_id + "\r\n";
     }
--- a/packages/entry/caller_connection.h
+++ b/packages/entry/caller_connection.h
@@ -11,8 +11,8 @@
 
 namespace cassiaspan {
 
-// Bytes at the start of a body that are read before the request is dispatched. They are part of its fingerprint, and a
-// body that fits can be sent again to another target.
+// Bytes at the start of a body that are read before the request is dispatched. They are part of its
+// fingerprint, and a body that fits can be sent again to another target.
 constexpr std::size_t body_prefix_bytes = 64U << 10U;
 
 // How reading a body went on.
@@ -45,7 +45,8 @@
     // Sends a refusal and returns its status code.
     int refuse(const refusal& value, const std::string& request_id);
     // Sends a whole short answer and returns its status code.
-    int answer(int status, const std::string& content_type, const std::string& body, const std::string& request_id);
+    int answer(int status, const std::string& content_type, const std::string& body,
+               const std::string& request_id);
 
 private:
     mg_connection* handle;
--- a/packages/entry/caller_service.cpp
+++ b/packages/entry/caller_service.cpp
@@ -18,7 +18,8 @@
 constexpr double retries_per_request = 0.1;
 constexpr double max_retry_allowance = 10;
 constexpr std::size_t max_attempts = 3;
-// A request whose slot came later than this takes its token anew, so that tokens are spent when requests start.
+// A request whose slot came later than this takes its token anew, so that tokens are spent when requests
+// start.
 constexpr milliseconds token_lifetime{5};
 constexpr milliseconds retry_soon{200};
 constexpr milliseconds retry_later{1000};
@@ -37,8 +38,8 @@
 
 // Two requests with one idempotency key are the same when this text is.
 std::string fingerprint_text(const request_head& head, const std::string& body_prefix) {
-    return head.method + " " + head.path + "?" + head.query + "\n" + std::to_string(head.content_length.value_or(-1)) +
-           "\n" + body_prefix;
+    return head.method + " " + head.path + "?" + head.query + "\n" +
+           std::to_string(head.content_length.value_or(-1)) + "\n" + body_prefix;
 }
 
 } // namespace
@@ -67,7 +68,8 @@
     int status = 0;
 };
 
-caller_service::caller_service(caller_service_parts parts_in, std::uint64_t seed) : parts(parts_in), random(seed) {}
+caller_service::caller_service(caller_service_parts parts_in, std::uint64_t seed)
+    : parts(parts_in), random(seed) {}
 
 int caller_service::serve(mg_connection* connection, const mg_request_info& info, http_server& server) {
     ++this->active;
@@ -76,7 +78,8 @@
         caller.close_after_answer();
     }
     const std::string path = info.local_uri == nullptr ? "" : info.local_uri;
-    const int status = path == steer_path ? this->serve_steer(info, caller) : this->serve_request(info, caller);
+    const int status =
+        path == steer_path ? this->serve_steer(info, caller) : this->serve_request(info, caller);
     --this->active;
     ++this->finished;
     return status;
@@ -92,7 +95,8 @@
     }
     static_cast<void>(caller.read_prefix({}, prefix));
     if (!generation || (!service.empty() && generation->configuration->find_service(service) == nullptr)) {
-        return caller.refuse(refuse_not_run(generation ? refusal_reason::unknown_route : refusal_reason::not_licensed), "");
+        return caller.refuse(
+            refuse_not_run(generation ? refusal_reason::unknown_route : refusal_reason::not_licensed), "");
     }
     const location self{this->parts.node.self().region(), this->parts.node.self().availability_zone()};
     std::vector<vm_state> vms = this->parts.node.steerable_vms();
@@ -115,13 +119,32 @@
 }
 
 int caller_service::serve_request(const mg_request_info& info, caller_connection& caller) {
-    request_state request{caller, this->next_request_id(), this->parts.time.now(), {}, this->parts.node.current(),
-                          {},     nullptr, nullptr, false, {}, false, 0, {}, {}, false, {}, {}, {}, false, 0};
-    const auto done = this->identify(request, info)
-                          .and_then([&] { return this->read_prefix(request); })
-                          .and_then([&] { return this->admit(request); })
-                          .and_then([&] { return this->settle_idempotency(request); })
-                          .and_then([&] { return request.kept_answer ? pass_result{} : this->forward(request); });
+    request_state request{caller,
+                          this->next_request_id(),
+                          this->parts.time.now(),
+                          {},
+                          this->parts.node.current(),
+                          {},
+                          nullptr,
+                          nullptr,
+                          false,
+                          {},
+                          false,
+                          0,
+                          {},
+                          {},
+                          false,
+                          {},
+                          {},
+                          {},
+                          false,
+                          0};
+    const auto done =
+        this->identify(request, info)
+            .and_then([&] { return this->read_prefix(request); })
+            .and_then([&] { return this->admit(request); })
+            .and_then([&] { return this->settle_idempotency(request); })
+            .and_then([&] { return request.kept_answer ? pass_result{} : this->forward(request); });
     if (!done) {
         const int status = caller.refuse(done.error(), request.id);
         this->finish(request, status, done.error());
@@ -182,7 +205,8 @@
     }
     request.body_goes_on = progress == body_progress::more;
     const std::string workspace = request.workspace == nullptr ? "" : request.workspace->name;
-    request.fingerprint = stable_hash(fingerprint_text(request.head, request.body_prefix), stable_hash(workspace));
+    request.fingerprint =
+        stable_hash(fingerprint_text(request.head, request.body_prefix), stable_hash(workspace));
     if (this->parts.quarantines.is_refused(request.fingerprint)) {
         return tl::make_unexpected(refuse_not_run(refusal_reason::quarantined, quarantine_time));
     }
@@ -211,8 +235,10 @@
         return {};
     }
     const auto& workspace = *request.workspace;
-    const std::int64_t unix_now = std::chrono::duration_cast<seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    if (is_record_lost(request.generation->head, workspace.name, request.head.idempotency_key, workspace.home_region, unix_now)) {
+    const std::int64_t unix_now =
+        std::chrono::duration_cast<seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    if (is_record_lost(request.generation->head, workspace.name, request.head.idempotency_key,
+                       workspace.home_region, unix_now)) {
         return tl::make_unexpected(refusal{refusal_reason::idempotency_record_lost, run_state::unknown, {}});
     }
     schema::IdempotencyRecord record;
@@ -236,7 +262,8 @@
         return tl::make_unexpected(refuse_not_run(refusal_reason::idempotency_key_reused));
     }
     if (!claimed.existing->done()) {
-        return tl::make_unexpected(refusal{refusal_reason::idempotency_key_in_progress, run_state::unknown, retry_later});
+        return tl::make_unexpected(
+            refusal{refusal_reason::idempotency_key_in_progress, run_state::unknown, retry_later});
     }
     if (claimed.existing->answer_dropped()) {
         return tl::make_unexpected(refusal{refusal_reason::answer_not_kept, run_state::unknown, {}});
@@ -257,7 +284,8 @@
 caller_service::pass_result caller_service::choose_target(request_state& request) {
     const std::string workspace = request.workspace == nullptr ? "" : request.workspace->name;
     const std::size_t weight = request.workspace == nullptr ? 1 : request.workspace->weight;
-    auto slot = this->parts.targets.acquire({request.service->name, workspace, weight, request.deadline, request.tried});
+    auto slot = this->parts.targets.acquire(
+        {request.service->name, workspace, weight, request.deadline, request.tried});
     if (slot) {
         request.slot = std::move(*slot);
         return {};
@@ -326,7 +354,8 @@
         request.status = 0;
     }
     if (!done && request.may_have_run) {
-        done = tl::make_unexpected(refusal{done.error().reason, run_state::unknown, done.error().retry_after});
+        done =
+            tl::make_unexpected(refusal{done.error().reason, run_state::unknown, done.error().retry_after});
     }
     if (!done && request.token_taken && !request.may_have_run) {
         this->parts.budgets.give_back(request.workspace->name);
@@ -367,20 +396,23 @@
 attempt_result caller_service::dispatch(request_state& request) {
     const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - this->parts.time.now());
     const std::string workspace = request.workspace == nullptr ? "" : request.workspace->name;
-    const std::string forward_head = render_forward_head(request.head, *request.generation->configuration,
-                                                         {request.slot->address, request.id, workspace, left});
-    const attempt_input input{request.head,
-                              forward_head,
-                              request.body_prefix,
-                              request.body_goes_on,
-                              request.non_idempotent,
-                              request.deadline,
-                              request.id,
-                              request.record ? static_cast<std::size_t>(this->parts.settings.max_replay_bytes()) : 0,
-                              -1,
-                              [&] { return this->is_still_allowed(request); }};
+    const std::string forward_head =
+        render_forward_head(request.head, *request.generation->configuration,
+                            {request.slot->address, request.id, workspace, left});
+    const attempt_input input{
+        request.head,
+        forward_head,
+        request.body_prefix,
+        request.body_goes_on,
+        request.non_idempotent,
+        request.deadline,
+        request.id,
+        request.record ? static_cast<std::size_t>(this->parts.settings.max_replay_bytes()) : 0,
+        -1,
+        [&] { return this->is_still_allowed(request); }};
     this->parts.quarantines.enter(request.slot->target, request.fingerprint);
-    attempt_result result = attempt(input, *request.slot, request.caller, this->parts.guard, this->parts.time);
+    attempt_result result =
+        attempt(input, *request.slot, request.caller, this->parts.guard, this->parts.time);
     if (result.died) {
         this->parts.quarantines.note_death_at(request.slot->target);
     } else if (result.outcome == attempt_outcome::answered) {
@@ -394,10 +426,12 @@
                                   : failure ? target_outcome::failure
                                             : target_outcome::success;
     if (this->parts.targets.release(*request.slot, health)) {
-        log_event(schema::EVENT_TARGET_EJECTED, severity::warning, request.id, "target=" + request.slot->target);
+        log_event(schema::EVENT_TARGET_EJECTED, severity::warning, request.id,
+                  "target=" + request.slot->target);
     }
     if (failure) {
-        log_event(schema::EVENT_TARGET_FAILED, severity::warning, request.id, "target=" + request.slot->target);
+        log_event(schema::EVENT_TARGET_FAILED, severity::warning, request.id,
+                  "target=" + request.slot->target);
     }
     return result;
 }
@@ -460,7 +494,8 @@
         log_event(schema::EVENT_REQUEST_REFUSED, severity::info, request.id,
                   "reason=" + sample.refusal + " run=" + std::string(to_string(refused->run)));
     } else {
-        log_event(schema::EVENT_REQUEST_DONE, severity::debug, request.id, "status=" + std::to_string(status));
+        log_event(schema::EVENT_REQUEST_DONE, severity::debug, request.id,
+                  "status=" + std::to_string(status));
     }
     this->parts.metrics.note(sample);
 }
--- a/packages/entry/daemon.cpp
+++ b/packages/entry/daemon.cpp
@@ -115,18 +115,21 @@
     watchdog guard{time};
     node_state node{make_self(settings), milliseconds{settings.freshness_ms()}, time};
     budget_book budgets{node.self().incarnation(), time};
-    target_registry targets{{settings.region(), settings.availability_zone()},
-                            {static_cast<std::size_t>(settings.queue_length()), milliseconds{settings.queue_wait_ms()}},
-                            draw_random(),
-                            time};
-    std::unique_ptr<peer_client> client = peer_client::start(parse_address(peer_listen_address(settings)).value().host, time);
+    target_registry targets{
+        {settings.region(), settings.availability_zone()},
+        {static_cast<std::size_t>(settings.queue_length()), milliseconds{settings.queue_wait_ms()}},
+        draw_random(),
+        time};
+    std::unique_ptr<peer_client> client =
+        peer_client::start(parse_address(peer_listen_address(settings)).value().host, time);
     peer_caller peers{*client, secret, node.self(), milliseconds{settings.peer_timeout_ms()}};
     record_home records{node, peers, time};
     quarantine_board quarantines{node, peers, time};
     service_metrics metrics{time};
     caller_service callers{{settings, node, budgets, targets, records, quarantines, metrics, guard, time},
                            draw_random()};
-    admin_parts admin_view{node, budgets, targets, metrics, time, [this](schema::Status& status) { this->fill_counts(status); }};
+    admin_parts admin_view{node,    budgets, targets,
+                           metrics, time,    [this](schema::Status& status) { this->fill_counts(status); }};
     peer_gate gate{secret, node.self().incarnation(),
                    [this](const schema::PeerRequest& request) { return this->answer_peer(request); }};
     std::optional<store_client> store;
@@ -189,13 +192,15 @@
 }
 
 tl::expected<void, std::string> daemon::listen_to_peers() {
-    auto started = peer_server::start(parse_address(peer_listen_address(this->settings)).value(), [this](peer_message message) {
-        auto reply = this->gate.answer(message);
-        if (!reply) {
-            log_event(schema::EVENT_PEER_REFUSED, severity::warning, "", "refused=" + std::to_string(this->gate.refused()));
-        }
-        return reply;
-    });
+    auto started = peer_server::start(parse_address(peer_listen_address(this->settings)).value(),
+                                      [this](peer_message message) {
+                                          auto reply = this->gate.answer(message);
+                                          if (!reply) {
+                                              log_event(schema::EVENT_PEER_REFUSED, severity::warning, "",
+                                                        "refused=" + std::to_string(this->gate.refused()));
+                                          }
+                                          return reply;
+                                      });
     if (!started) {
         return tl::make_unexpected(started.error());
     }
@@ -206,19 +211,24 @@
 void daemon::start_duties() {
     const schema::Settings& set = this->settings;
     const nanoseconds freshness = milliseconds{set.freshness_ms()};
-    this->store.emplace(store_options{parse_address(set.store_address()).value(), parse_address(set.vm_list_address()).value(),
-                                      milliseconds{set.store_timeout_ms()}, set.store_calls_per_second(), draw_random()},
+    this->store.emplace(store_options{parse_address(set.store_address()).value(),
+                                      parse_address(set.vm_list_address()).value(),
+                                      milliseconds{set.store_timeout_ms()}, set.store_calls_per_second(),
+                                      draw_random()},
                         this->guard, this->time);
-    this->members.emplace(members_options{freshness, milliseconds{set.loan_ms()}, milliseconds{set.vm_list_lag_ms()},
+    this->members.emplace(members_options{freshness, milliseconds{set.loan_ms()},
+                                          milliseconds{set.vm_list_lag_ms()},
                                           static_cast<std::size_t>(set.member_limit())},
                           this->node, this->time);
-    this->store_thread.emplace(store_duty_options{freshness, milliseconds{set.watch_wait_ms()}, milliseconds{set.lease_ttl_ms()},
+    this->store_thread.emplace(store_duty_options{freshness, milliseconds{set.watch_wait_ms()},
+                                                  milliseconds{set.lease_ttl_ms()},
                                                   milliseconds{set.vm_list_interval_ms()}},
                                *this->store, this->node, *this->members, this->time, log_store_event);
     this->overlay_thread.emplace(overlay_options{milliseconds{set.pull_interval_ms()},
                                                  static_cast<std::size_t>(set.overlay_degree()), freshness},
                                  this->node, this->peers, this->time);
-    this->budget_thread.emplace(milliseconds{set.loan_ms()}, this->budgets, this->node, this->peers, this->time);
+    this->budget_thread.emplace(milliseconds{set.loan_ms()}, this->budgets, this->node, this->peers,
+                                this->time);
     this->records_thread.emplace(this->records, this->node, [this](std::uint64_t generation) {
         this->node.set_handed_over(generation);
         this->store_thread->set_handed_over(generation);
@@ -249,9 +259,9 @@
         return tl::make_unexpected(admin.error());
     }
     this->admin_listener = std::move(*admin);
-    const http_server_options caller_options{parse_address(set.caller_address()).value(),
-                                             static_cast<std::size_t>(set.worker_count()),
-                                             milliseconds{set.idle_timeout_ms()}, bytes, set.tls_certificate_file()};
+    const http_server_options caller_options{
+        parse_address(set.caller_address()).value(), static_cast<std::size_t>(set.worker_count()),
+        milliseconds{set.idle_timeout_ms()}, bytes, set.tls_certificate_file()};
     auto caller = http_server::start(
         caller_options,
         [this](http_server& server, mg_connection* connection, const mg_request_info& info) {
@@ -263,7 +273,8 @@
     }
     this->caller_listener = std::move(*caller);
     log_event(schema::EVENT_STARTED, severity::info, "",
-              "callers=" + set.caller_address() + " incarnation=" + std::to_string(this->node.self().incarnation()));
+              "callers=" + set.caller_address() +
+                  " incarnation=" + std::to_string(this->node.self().incarnation()));
     return {};
 }
 
@@ -361,7 +372,8 @@
     return false;
 }
 
-// While it leaves, the VM serves whoever still comes; it stops when nobody does and no list names it any more.
+// While it leaves, the VM serves whoever still comes; it stops when nobody does and no list names it any
+// more.
 bool daemon::may_stop(instant leaving_since) {
     const instant now = this->time.now();
     const std::uint64_t served = this->callers.served();
@@ -384,7 +396,8 @@
     }
     const bool clean = this->callers.in_flight() == 0;
     this->caller_listener.reset();
-    log_event(clean ? schema::EVENT_STOPPED : schema::EVENT_STOP_TIMED_OUT, clean ? severity::info : severity::error, "",
+    log_event(clean ? schema::EVENT_STOPPED : schema::EVENT_STOP_TIMED_OUT,
+              clean ? severity::info : severity::error, "",
               "served=" + std::to_string(this->callers.served()));
     this->admin_listener.reset();
     this->peer_listener.reset();
@@ -410,7 +423,8 @@
     const bool standalone = !settings.standalone().empty();
     const auto text = read_file(standalone ? settings.standalone() : settings.peer_secret_file());
     if (!text || text->empty()) {
-        return tl::make_unexpected("cannot read \"" + (standalone ? settings.standalone() : settings.peer_secret_file()) +
+        return tl::make_unexpected("cannot read \"" +
+                                   (standalone ? settings.standalone() : settings.peer_secret_file()) +
                                    "\", or it is empty");
     }
     start_log({settings.vm(), settings.log_format() == "json", parse_severity(settings.log_level())});
--- a/packages/entry/daemon.h
+++ b/packages/entry/daemon.h
@@ -12,7 +12,8 @@
 // How a run of the daemon ended.
 enum class stop_result { clean, timed_out };
 
-// Runs the daemon until `wait_for_stop` returns, then stops it gracefully. The error says why it could not start.
+// Runs the daemon until `wait_for_stop` returns, then stops it gracefully. The error says why it could not
+// start.
 [[nodiscard]] tl::expected<stop_result, std::string> run_daemon(const schema::Settings& settings,
                                                                 const std::function<void()>& wait_for_stop);
 
--- a/packages/entry/event_log.cpp
+++ b/packages/entry/event_log.cpp
@@ -44,8 +44,8 @@
 }
 
 std::string render_text(const schema::LogLine& line) {
-    std::string text = line.time() + " " + line.severity() + " " + std::to_string(line.event()) + " " + line.name() +
-                       " vm=" + line.vm();
+    std::string text = line.time() + " " + line.severity() + " " + std::to_string(line.event()) + " " +
+                       line.name() + " vm=" + line.vm();
     if (!line.request_id().empty()) {
         text += " request=" + line.request_id();
     }
--- a/packages/entry/forwarder.cpp
+++ b/packages/entry/forwarder.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// A connection that has been idle for longer may be closed by the target just as a request is sent on it. A request
-// that must not run twice cannot be repeated then, so it takes fresher ones only.
+// A connection that has been idle for longer may be closed by the target just as a request is sent on it. A
+// request that must not run twice cannot be repeated then, so it takes fresher ones only.
 constexpr milliseconds max_idle_idempotent{10'000};
 constexpr milliseconds max_idle_non_idempotent{250};
 // Answers up to this size are read whole before the first byte goes to the caller, in bytes.
@@ -18,12 +18,16 @@
 constexpr int status_unavailable = 503;
 constexpr int first_final_status = 200;
 
-bool equals(const std::string& left, const char* right) { return strcasecmp(left.c_str(), right) == 0; }
+bool equals(const std::string& left, const char* right) {
+    return strcasecmp(left.c_str(), right) == 0;
+}
 
 bool is_hop_by_hop(const std::string& name) {
-    constexpr std::array<const char*, 8> names{"Connection", "Keep-Alive",        "TE",             "Trailer",
-                                               "Upgrade",    "Transfer-Encoding", "Content-Length", "X-Request-Id"};
-    return std::any_of(names.begin(), names.end(), [&](const char* dropped) { return equals(name, dropped); });
+    constexpr std::array<const char*, 8> names{"Connection",     "Keep-Alive",  "TE",
+                                               "Trailer",        "Upgrade",     "Transfer-Encoding",
+                                               "Content-Length", "X-Request-Id"};
+    return std::any_of(names.begin(), names.end(),
+                       [&](const char* dropped) { return equals(name, dropped); });
 }
 
 std::string find_header(const http_response_head& head, const char* name) {
@@ -160,7 +164,8 @@
 }
 
 bool relay_part(exchange_state& state) {
-    const bool sent = state.head.content_length ? state.caller.write(state.body) : state.caller.write_chunk(state.body);
+    const bool sent =
+        state.head.content_length ? state.caller.write(state.body) : state.caller.write_chunk(state.body);
     state.body.clear();
     return sent;
 }
@@ -225,16 +230,18 @@
     state.result.outcome = attempt_outcome::answered;
 }
 
-// A reused connection must hold nothing else: all of the request sent, all of the answer read, both sides willing.
+// A reused connection must hold nothing else: all of the request sent, all of the answer read, both sides
+// willing.
 bool may_keep(const exchange_state& state, bool guarded, bool sent_whole) {
-    return guarded && sent_whole && state.clean && !state.head.closes && (state.head.content_length || state.head.chunked ||
-           expects_no_body(state.input.head.method, state.head.status));
+    return guarded && sent_whole && state.clean && !state.head.closes &&
+           (state.head.content_length || state.head.chunked ||
+            expects_no_body(state.input.head.method, state.head.status));
 }
 
 } // namespace
 
-attempt_result attempt(const attempt_input& input, const target_slot& slot, caller_connection& caller, watchdog& guard,
-                       const clock& time) {
+attempt_result attempt(const attempt_input& input, const target_slot& slot, caller_connection& caller,
+                       watchdog& guard, const clock& time) {
     const auto max_idle = input.non_idempotent ? max_idle_non_idempotent : max_idle_idempotent;
     auto taken = slot.pool->take(max_idle, time.now());
     if (!taken) {
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -60,7 +60,7 @@
 };
 
 // Makes one attempt at the target of `slot`.
-[[nodiscard]] attempt_result attempt(const attempt_input& input, const target_slot& slot, caller_connection& caller,
-                                     watchdog& guard, const clock& time);
+[[nodiscard]] attempt_result attempt(const attempt_input& input, const target_slot& slot,
+                                     caller_connection& caller, watchdog& guard, const clock& time);
 
 } // namespace cassiaspan
--- a/packages/entry/main.cpp
+++ b/packages/entry/main.cpp
@@ -12,8 +12,8 @@
 
 constexpr int exit_bad_settings = 2;
 
-// Blocks the stop signals in all threads, so that only the main thread takes them, one at a time. A second one changes
-// nothing: it does not cut the stop short.
+// Blocks the stop signals in all threads, so that only the main thread takes them, one at a time. A second
+// one changes nothing: it does not cut the stop short.
 sigset_t block_stop_signals() {
     sigset_t signals;
     sigemptyset(&signals);
--- a/packages/entry/quarantine_board.h
+++ b/packages/entry/quarantine_board.h
@@ -26,7 +26,8 @@
     // Notes that a request was served; ends a suspicion of it everywhere.
     void note_served(std::uint64_t fingerprint);
     [[nodiscard]] bool is_refused(std::uint64_t fingerprint);
-    // Returns whether another run of the request, besides this one, would be one too many while it is suspected.
+    // Returns whether another run of the request, besides this one, would be one too many while it is
+    // suspected.
     [[nodiscard]] bool is_suspect(std::uint64_t fingerprint);
     // Takes in a peer's message.
     void note(const schema::Suspect& message);
--- a/packages/entry/refusal.cpp
+++ b/packages/entry/refusal.cpp
@@ -38,15 +38,23 @@
     {refusal_reason::stopping, "stopping", 503},
 }};
 
-const reason_row& row_of(refusal_reason reason) { return reason_rows.at(static_cast<std::size_t>(reason)); }
+const reason_row& row_of(refusal_reason reason) {
+    return reason_rows.at(static_cast<std::size_t>(reason));
+}
 
 } // namespace
 
-std::string_view to_string(refusal_reason reason) { return row_of(reason).name; }
+std::string_view to_string(refusal_reason reason) {
+    return row_of(reason).name;
+}
 
-std::string_view to_string(run_state run) { return run == run_state::not_run ? "not-run" : "unknown"; }
+std::string_view to_string(run_state run) {
+    return run == run_state::not_run ? "not-run" : "unknown";
+}
 
-int status_of(refusal_reason reason) { return row_of(reason).status; }
+int status_of(refusal_reason reason) {
+    return row_of(reason).status;
+}
 
 std::string render_refusal(const refusal& value, const std::string& request_id) {
     schema::Refusal message;
--- a/packages/entry/request_head.cpp
+++ b/packages/entry/request_head.cpp
@@ -15,16 +15,29 @@
 constexpr std::string_view own_header_prefix = "X-Cassiaspan-";
 
 // Headers that concern one connection only, or that the system sets itself, or that carry the key.
-constexpr std::array<std::string_view, 15> dropped_headers{
-    "Connection",    "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "TE",
-    "Trailer",       "Upgrade",    "Transfer-Encoding",  "Content-Length",      "Host",
-    "Authorization", "X-Api-Key",  "Expect",             "X-Request-Id",        "X-Request-Timeout-Ms"};
+constexpr std::array<std::string_view, 15> dropped_headers{"Connection",
+                                                           "Keep-Alive",
+                                                           "Proxy-Authenticate",
+                                                           "Proxy-Authorization",
+                                                           "TE",
+                                                           "Trailer",
+                                                           "Upgrade",
+                                                           "Transfer-Encoding",
+                                                           "Content-Length",
+                                                           "Host",
+                                                           "Authorization",
+                                                           "X-Api-Key",
+                                                           "Expect",
+                                                           "X-Request-Id",
+                                                           "X-Request-Timeout-Ms"};
 
 bool equals(std::string_view left, std::string_view right) {
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
 
-refusal bad_request() { return {refusal_reason::bad_request, run_state::not_run, milliseconds{0}}; }
+refusal bad_request() {
+    return {refusal_reason::bad_request, run_state::not_run, milliseconds{0}};
+}
 
 std::vector<std::string_view> values_of(const request_head& head, std::string_view name) {
     std::vector<std::string_view> values;
@@ -59,7 +72,8 @@
 }
 
 bool has_control_character(std::string_view text) {
-    return std::any_of(text.begin(), text.end(), [](char c) { return static_cast<unsigned char>(c) < ' ' && c != '\t'; });
+    return std::any_of(text.begin(), text.end(),
+                       [](char c) { return static_cast<unsigned char>(c) < ' ' && c != '\t'; });
 }
 
 bool read_framing(request_head& head) {
@@ -147,7 +161,8 @@
 
     [[nodiscard]] bool is_key(std::string_view text) const {
         const std::string_view trimmed = trim(text);
-        return !trimmed.empty() && (trimmed == this->own_key || this->configuration.find_by_key(trimmed) != nullptr);
+        return !trimmed.empty() &&
+               (trimmed == this->own_key || this->configuration.find_by_key(trimmed) != nullptr);
     }
     [[nodiscard]] bool is_key_in_any_form(std::string_view text) const {
         return this->is_key(text) || this->is_key(url_decode(text));
@@ -177,8 +192,9 @@
     }
     // A scheme may stand before the key, as in "Token abc".
     const std::size_t space = header.value.rfind(' ');
-    const std::string_view last =
-        space == std::string::npos ? std::string_view(header.value) : std::string_view(header.value).substr(space + 1);
+    const std::string_view last = space == std::string::npos
+                                      ? std::string_view(header.value)
+                                      : std::string_view(header.value).substr(space + 1);
     const bool has_key = filter.is_key_in_any_form(header.value) || filter.is_key_in_any_form(last);
     return has_key ? "" : header.value;
 }
@@ -220,7 +236,9 @@
     return head;
 }
 
-bool has_body(const request_head& head) { return head.chunked || head.content_length.value_or(0) > 0; }
+bool has_body(const request_head& head) {
+    return head.chunked || head.content_length.value_or(0) > 0;
+}
 
 std::string render_forward_head(const request_head& head, const config_view& configuration,
                                 const forward_context& context) {
@@ -244,7 +262,8 @@
     }
     if (head.chunked) {
         text += "Transfer-Encoding: chunked\r\n";
-    } else if (head.content_length || head.method == "POST" || head.method == "PUT" || head.method == "PATCH") {
+    } else if (head.content_length || head.method == "POST" || head.method == "PUT" ||
+               head.method == "PATCH") {
         text += "Content-Length: " + std::to_string(head.content_length.value_or(0)) + "\r\n";
     }
     return text + "\r\n";
--- a/packages/entry/service_metrics.cpp
+++ b/packages/entry/service_metrics.cpp
@@ -10,7 +10,8 @@
 
 } // namespace
 
-service_metrics::series::series() : latency_s(boost::accumulators::extended_p_square_probabilities = quantiles) {}
+service_metrics::series::series()
+    : latency_s(boost::accumulators::extended_p_square_probabilities = quantiles) {}
 
 std::int64_t service_metrics::present_minute() const {
     return std::chrono::duration_cast<std::chrono::minutes>(this->time.now().time_since_epoch()).count();
@@ -61,8 +62,8 @@
     text << "# TYPE cassiaspan_requests_total counter\n";
     for (const auto& [key, entry] : this->all) {
         for (const auto& [outcome, count] : entry.outcomes) {
-            text << "cassiaspan_requests_total{workspace=\"" << key.workspace << "\",service=\"" << key.service
-                 << "\",outcome=\"" << outcome << "\"} " << count << "\n";
+            text << "cassiaspan_requests_total{workspace=\"" << key.workspace << "\",service=\""
+                 << key.service << "\",outcome=\"" << outcome << "\"} " << count << "\n";
         }
     }
     text << "# TYPE cassiaspan_request_seconds summary\n";
@@ -72,10 +73,10 @@
             text << "cassiaspan_request_seconds{" << labels << ",quantile=\"" << quantiles.at(i) << "\"} "
                  << boost::accumulators::extended_p_square(entry.latency_s)[i] << "\n";
         }
-        text << "cassiaspan_request_seconds_sum{" << labels << "} " << boost::accumulators::sum(entry.latency_s)
-             << "\n";
-        text << "cassiaspan_request_seconds_count{" << labels << "} " << boost::accumulators::count(entry.latency_s)
-             << "\n";
+        text << "cassiaspan_request_seconds_sum{" << labels << "} "
+             << boost::accumulators::sum(entry.latency_s) << "\n";
+        text << "cassiaspan_request_seconds_count{" << labels << "} "
+             << boost::accumulators::count(entry.latency_s) << "\n";
     }
     return text.str();
 }
--- a/packages/entry/service_metrics.h
+++ b/packages/entry/service_metrics.h
@@ -59,11 +59,10 @@
         std::string service;
         auto operator<=>(const series_key&) const = default;
     };
-    using distribution =
-        boost::accumulators::accumulator_set<double, boost::accumulators::stats<boost::accumulators::tag::count,
-                                                                                boost::accumulators::tag::sum,
-                                                                                boost::accumulators::tag::max,
-                                                                                boost::accumulators::tag::extended_p_square>>;
+    using distribution = boost::accumulators::accumulator_set<
+        double, boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                           boost::accumulators::tag::max,
+                                           boost::accumulators::tag::extended_p_square>>;
     // Minutes of the longest window.
     static constexpr std::size_t kept_minutes = 360;
     struct series {
--- a/packages/entry/settings_loader.cpp
+++ b/packages/entry/settings_loader.cpp
@@ -52,8 +52,8 @@
     if (parsed.ec != std::errc{} || parsed.ptr != end) {
         found.push_back({"--" + flag_name(field), "\"" + text + "\" is not a whole number"});
     } else if (value < rule.min() || value > rule.max()) {
-        found.push_back({"--" + flag_name(field), text + " is not between " + std::to_string(rule.min()) + " and " +
-                                                      std::to_string(rule.max())});
+        found.push_back({"--" + flag_name(field), text + " is not between " + std::to_string(rule.min()) +
+                                                      " and " + std::to_string(rule.max())});
     } else {
         settings.GetReflection()->SetInt64(&settings, &field, value);
     }
@@ -71,7 +71,8 @@
         return;
     }
     settings.GetReflection()->SetString(&settings, &field, text);
-    const bool is_address = field.name().size() > 8 && field.name().substr(field.name().size() - 8) == "_address";
+    const bool is_address =
+        field.name().size() > 8 && field.name().substr(field.name().size() - 8) == "_address";
     if (is_address && (!text.empty() || rule.required()) && !parse_address(text)) {
         found.push_back({"--" + flag_name(field), "\"" + text + "\" is not IP:port"});
     }
@@ -94,7 +95,8 @@
     }
 }
 
-// Environment variables that begin with the prefix but are no setting are findings too: a typing error must not pass.
+// Environment variables that begin with the prefix but are no setting are findings too: a typing error must
+// not pass.
 std::string map_variable(const std::string& variable, findings& found) {
     const std::string prefix = environment_prefix;
     if (variable.rfind(prefix, 0) != 0) {
@@ -130,8 +132,9 @@
     const auto description = describe();
     try {
         const options::positional_options_description no_positional;
-        options::store(options::command_line_parser(arguments).options(description).positional(no_positional).run(),
-                       values);
+        options::store(
+            options::command_line_parser(arguments).options(description).positional(no_positional).run(),
+            values);
         options::store(options::parse_environment(
                            description, [&](const std::string& name) { return map_variable(name, found); }),
                        values);
--- a/packages/entry/settings_loader.h
+++ b/packages/entry/settings_loader.h
@@ -10,8 +10,10 @@
 
 namespace cassiaspan {
 
-// Reads flags and CASSIASPAN_* variables; a flag goes before its variable. The error lists every wrong setting.
-[[nodiscard]] tl::expected<schema::Settings, findings> load_settings(const std::vector<std::string>& arguments);
+// Reads flags and CASSIASPAN_* variables; a flag goes before its variable. The error lists every wrong
+// setting.
+[[nodiscard]] tl::expected<schema::Settings, findings>
+load_settings(const std::vector<std::string>& arguments);
 
 // Returns the text of --help: every setting with its meaning, unit and default.
 [[nodiscard]] std::string settings_help();
--- a/packages/entry/target_registry.cpp
+++ b/packages/entry/target_registry.cpp
@@ -12,13 +12,15 @@
 std::optional<std::size_t> index_of(const service_view& view, const std::string& target) {
     const auto found = std::find_if(view.targets.begin(), view.targets.end(),
                                     [&](const target_view& candidate) { return candidate.name == target; });
-    return found == view.targets.end() ? std::nullopt
-                                       : std::optional(static_cast<std::size_t>(found - view.targets.begin()));
+    return found == view.targets.end()
+               ? std::nullopt
+               : std::optional(static_cast<std::size_t>(found - view.targets.begin()));
 }
 
 } // namespace
 
-target_registry::target_registry(location here_in, queue_limits limits_in, std::uint64_t seed, const clock& clock_in)
+target_registry::target_registry(location here_in, queue_limits limits_in, std::uint64_t seed,
+                                 const clock& clock_in)
     : here(std::move(here_in)), limits(limits_in), time(clock_in), random(seed) {}
 
 void target_registry::apply(const generation_view& generation) {
@@ -91,9 +93,9 @@
 
 target_choice target_registry::choose(const service_state& service, const slot_request& request) {
     const std::vector<std::size_t> tried = indices_of(service, request.tried);
-    return choose_target(
-        {*service.view, service.targets, this->here, this->time.now(), std::chrono::system_clock::now(), tried},
-        this->random);
+    return choose_target({*service.view, service.targets, this->here, this->time.now(),
+                          std::chrono::system_clock::now(), tried},
+                         this->random);
 }
 
 target_slot target_registry::take(service_state& service, std::size_t index, const std::string& name) const {
@@ -145,7 +147,8 @@
         if (now >= deadline || (first && choice.reason == no_target::none_serving)) {
             withdraw(service.queue, *ticket);
             this->freed.notify_all();
-            return tl::make_unexpected(now >= deadline ? slot_refusal::timed_out : slot_refusal::none_serving);
+            return tl::make_unexpected(now >= deadline ? slot_refusal::timed_out
+                                                       : slot_refusal::none_serving);
         }
         this->freed.wait_for(lock, std::min<nanoseconds>(slot_poll, deadline - now));
     }
@@ -154,7 +157,8 @@
 bool target_registry::release(const target_slot& slot, target_outcome outcome) {
     const std::scoped_lock lock(this->mutex);
     const auto found = this->services.find(slot.service);
-    const auto index = found == this->services.end() ? std::nullopt : index_of(*found->second.view, slot.target);
+    const auto index =
+        found == this->services.end() ? std::nullopt : index_of(*found->second.view, slot.target);
     if (!index) {
         return false;
     }
--- a/packages/entry/target_registry.h
+++ b/packages/entry/target_registry.h
@@ -1,4 +1,5 @@
-// The targets of all services as this VM sees them: loads, slots, the queue before the slots, kept connections.
+// The targets of all services as this VM sees them: loads, slots, the queue before the slots, kept
+// connections.
 #pragma once
 
 #include "fair_queue.h"
--- a/packages/fleet/budget_book.cpp
+++ b/packages/fleet/budget_book.cpp
@@ -34,8 +34,9 @@
             kept = std::make_shared<entry>();
             kept->state = make_budget(now);
         }
-        const share base = standalone ? workspace.contract
-                                      : base_share(generation.head, this->self, workspace.name, workspace.contract);
+        const share base = standalone
+                               ? workspace.contract
+                               : base_share(generation.head, this->self, workspace.name, workspace.contract);
         {
             const std::scoped_lock lock(kept->mutex);
             set_base(kept->state, base, now);
@@ -99,7 +100,8 @@
     return lend(found->state, borrower, wanted, duration, this->time.now());
 }
 
-void budget_book::accept(const std::string& workspace, std::uint64_t lender, const grant& granted, instant until) {
+void budget_book::accept(const std::string& workspace, std::uint64_t lender, const grant& granted,
+                         instant until) {
     if (const std::shared_ptr<entry> found = this->find(workspace)) {
         const std::scoped_lock lock(found->mutex);
         accept_loan(found->state, lender, granted, until, this->time.now());
--- a/packages/fleet/budget_book.h
+++ b/packages/fleet/budget_book.h
@@ -45,8 +45,8 @@
     void give_back(const std::string& workspace);
 
     // Lends to a peer; nothing when there is no spare share.
-    [[nodiscard]] std::optional<grant> lend_to(const std::string& workspace, std::uint64_t borrower, share wanted,
-                                               milliseconds duration);
+    [[nodiscard]] std::optional<grant> lend_to(const std::string& workspace, std::uint64_t borrower,
+                                               share wanted, milliseconds duration);
     // Takes in a loan that ends at `until`.
     void accept(const std::string& workspace, std::uint64_t lender, const grant& granted, instant until);
 
--- a/packages/fleet/budget_duty.cpp
+++ b/packages/fleet/budget_duty.cpp
@@ -2,15 +2,11 @@
 
 #include "address.h"
 
-#include <algorithm>
-
 namespace cassiaspan {
 
 namespace {
 
 constexpr milliseconds idle_look{100};
-// A workspace that still runs short asks the same lender again after this time.
-constexpr milliseconds urgent_interval{40};
 
 std::optional<schema::Member> find_member(const schema::Head& head, std::uint64_t incarnation) {
     for (const auto& list : head.lists()) {
@@ -25,11 +21,13 @@
 
 } // namespace
 
-budget_duty::budget_duty(milliseconds loan_in, budget_book& budgets_in, node_state& node_in, peer_caller& peers_in,
-                         const clock& clock_in)
+budget_duty::budget_duty(milliseconds loan_in, budget_book& budgets_in, node_state& node_in,
+                         peer_caller& peers_in, const clock& clock_in)
     : loan(loan_in), budgets(budgets_in), node(node_in), peers(peers_in), time(clock_in) {}
 
-budget_duty::~budget_duty() { this->stop(); }
+budget_duty::~budget_duty() {
+    this->stop();
+}
 
 void budget_duty::stop() {
     this->stopping = true;
@@ -52,32 +50,19 @@
     }
 }
 
-// A loan is renewed at half its time, and asked for anew when much more is wanted.
-bool budget_duty::is_due(const lender_state& state, share wanted) const {
-    const nanoseconds age = this->time.now() - state.asked;
-    if (state.asking || age < urgent_interval) {
-        return false;
-    }
-    const bool more = wanted.rate > state.wanted.rate + state.wanted.rate / 4 || wanted.cap > state.wanted.cap;
-    return more || age > this->loan / 2;
-}
-
 void budget_duty::ask_lenders(const borrow_wish& wish) {
     const auto generation = this->node.current();
     if (!generation) {
         return;
     }
-    // Each lender is asked for twice its part: some will have nothing to spare.
-    const auto count = static_cast<std::int64_t>(wish.lenders.size());
-    const share part{std::min(wish.wanted.rate, 2 * wish.wanted.rate / count + 1),
-                     std::min(wish.wanted.cap, 2 * wish.wanted.cap / count + 1)};
+    const share part = part_for_each(wish.wanted, wish.lenders.size());
     for (const std::uint64_t lender : wish.lenders) {
         const auto member = find_member(generation->head, lender);
         bool due = false;
         {
             const std::scoped_lock lock(this->mutex);
             lender_state& state = this->lenders[{wish.workspace, lender}];
-            due = member && this->is_due(state, part);
+            due = member && is_ask_due(state, part, this->loan, this->time.now());
             if (due) {
                 state = {true, this->time.now(), part};
             }
--- a/packages/fleet/budget_duty.h
+++ b/packages/fleet/budget_duty.h
@@ -1,6 +1,7 @@
 // Borrows budget from peers for workspaces that run short here.
 #pragma once
 
+#include "borrowing.h"
 #include "budget_book.h"
 #include "node_state.h"
 #include "peer_channel.h"
@@ -37,15 +38,9 @@
         std::uint64_t lender = 0;
         auto operator<=>(const lender_key&) const = default;
     };
-    struct lender_state {
-        bool asking = false;
-        instant asked;
-        share wanted;
-    };
 
     void run();
     void ask_lenders(const borrow_wish& wish);
-    [[nodiscard]] bool is_due(const lender_state& state, share wanted) const;
     void ask(const borrow_wish& wish, const schema::Member& lender, share wanted);
 
     milliseconds loan;
--- a/packages/fleet/h2_session.cpp
+++ b/packages/fleet/h2_session.cpp
@@ -28,7 +28,8 @@
                          std::uint8_t /*flags*/, void* owner) {
         auto* self = static_cast<h2_session*>(owner);
         if (std::string_view(reinterpret_cast<const char*>(name), name_size) == code_header) {
-            self->streams[frame->hd.stream_id].incoming.code.assign(reinterpret_cast<const char*>(value), value_size);
+            self->streams[frame->hd.stream_id].incoming.code.assign(reinterpret_cast<const char*>(value),
+                                                                    value_size);
         }
         return 0;
     }
@@ -57,13 +58,15 @@
         return 0;
     }
 
-    static int on_close(nghttp2_session* /*session*/, std::int32_t stream, std::uint32_t /*error*/, void* owner) {
+    static int on_close(nghttp2_session* /*session*/, std::int32_t stream, std::uint32_t /*error*/,
+                        void* owner) {
         static_cast<h2_session*>(owner)->streams.erase(stream);
         return 0;
     }
 
     static ssize_t read_body(nghttp2_session* /*session*/, std::int32_t stream, std::uint8_t* buffer,
-                             std::size_t size, std::uint32_t* flags, nghttp2_data_source* /*source*/, void* owner) {
+                             std::size_t size, std::uint32_t* flags, nghttp2_data_source* /*source*/,
+                             void* owner) {
         stream_state& state = static_cast<h2_session*>(owner)->streams[stream];
         const std::size_t count = std::min(size, state.outgoing.size() - state.sent);
         std::memcpy(buffer, state.outgoing.data() + state.sent, count);
@@ -93,7 +96,8 @@
             {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, max_streams},
              {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, max_peer_message_bytes}}};
         nghttp2_submit_settings(self->session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
-        nghttp2_session_set_local_window_size(self->session, NGHTTP2_FLAG_NONE, 0, 4 * max_peer_message_bytes);
+        nghttp2_session_set_local_window_size(self->session, NGHTTP2_FLAG_NONE, 0,
+                                              4 * max_peer_message_bytes);
         return self;
     }
 };
@@ -106,11 +110,13 @@
     return callbacks::make(std::move(on_message), false);
 }
 
-h2_session::~h2_session() { nghttp2_session_del(this->session); }
+h2_session::~h2_session() {
+    nghttp2_session_del(this->session);
+}
 
 bool h2_session::receive(std::string_view bytes) {
-    const ssize_t taken =
-        nghttp2_session_mem_recv(this->session, reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+    const ssize_t taken = nghttp2_session_mem_recv(
+        this->session, reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
     return taken == static_cast<ssize_t>(bytes.size());
 }
 
@@ -131,7 +137,8 @@
     if (this->streams.count(stream) == 0) {
         return false;
     }
-    const std::array<nghttp2_nv, 2> headers{make_header(":status", "200"), make_header(code_header, message.code)};
+    const std::array<nghttp2_nv, 2> headers{make_header(":status", "200"),
+                                            make_header(code_header, message.code)};
     this->streams[stream].outgoing = std::move(message.body);
     nghttp2_data_provider provider{{}, callbacks::read_body};
     return nghttp2_submit_response(this->session, stream, headers.data(), headers.size(), &provider) == 0;
--- a/packages/fleet/h2_session.h
+++ b/packages/fleet/h2_session.h
@@ -25,7 +25,8 @@
 // The protocol state of one connection. The owner moves the bytes.
 class h2_session {
 public:
-    // Called for each whole message: on a server with the stream to answer on, on a client with the stream that asked.
+    // Called for each whole message: on a server with the stream to answer on, on a client with the stream
+    // that asked.
     using message_handler = std::function<void(std::int32_t stream, peer_message message)>;
 
     // Starts a session for the side that accepted or opened the connection.
--- a/packages/fleet/members_duty.cpp
+++ b/packages/fleet/members_duty.cpp
@@ -110,7 +110,8 @@
     return ended;
 }
 
-std::vector<schema::Member> members_duty::find_alive(const schema::Head& head, const electorate& ended) const {
+std::vector<schema::Member> members_duty::find_alive(const schema::Head& head,
+                                                     const electorate& ended) const {
     const auto peers = this->node.peers();
     const instant now = this->time.now();
     std::set<std::uint64_t> leaving;
@@ -139,7 +140,8 @@
     }
     add(this->node.self());
     for (const peer_knowledge& peer : peers) {
-        const bool present = this->node.incarnation_at(peer.member.peer_address()) == peer.member.incarnation();
+        const bool present =
+            this->node.incarnation_at(peer.member.peer_address()) == peer.member.incarnation();
         if (peer.synced && present && now - peer.asked < this->options.freshness) {
             add(peer.member);
         }
@@ -155,7 +157,8 @@
             if (contains(ended, member.incarnation())) {
                 continue;
             }
-            std::uint64_t done = member.incarnation() == this->node.self().incarnation() ? own_handed_over : 0;
+            std::uint64_t done =
+                member.incarnation() == this->node.self().incarnation() ? own_handed_over : 0;
             for (const peer_knowledge& peer : peers) {
                 if (peer.member.incarnation() == member.incarnation()) {
                     done = peer.handed_over_generation;
--- a/packages/fleet/members_duty.h
+++ b/packages/fleet/members_duty.h
@@ -1,4 +1,5 @@
-// Names the members of the fleet in the head: takes in new VMs, drops ended and leaving ones, settles old lists.
+// Names the members of the fleet in the head: takes in new VMs, drops ended and leaving ones, settles old
+// lists.
 //
 // At most one VM does this at a time, by a lease; that it is only one is for economy, since every step is a
 // compare-and-swap of the head.
@@ -36,7 +37,8 @@
     [[nodiscard]] bool is_ended(const schema::Member& member, const std::vector<peer_knowledge>& peers,
                                 const vm_list_view& vms);
     [[nodiscard]] electorate find_ended(const schema::Head& head);
-    [[nodiscard]] std::vector<schema::Member> find_alive(const schema::Head& head, const electorate& ended) const;
+    [[nodiscard]] std::vector<schema::Member> find_alive(const schema::Head& head,
+                                                         const electorate& ended) const;
     [[nodiscard]] std::optional<schema::Head> settle(const schema::Head& head, const electorate& ended,
                                                      std::uint64_t own_handed_over);
     [[nodiscard]] bool has_handed_over(const schema::Head& head, const electorate& ended,
--- a/packages/fleet/node_state.cpp
+++ b/packages/fleet/node_state.cpp
@@ -18,9 +18,14 @@
 }
 
 peer_knowledge to_knowledge(const schema::PullReply& reply, instant asked) {
-    return {reply.self(),   asked,           reply.generation(),
-            reply.synced(), reply.leaving(), reply.licensed(),
-            reply.relay(),  reply.handed_over_generation(),
+    return {reply.self(),
+            asked,
+            reply.generation(),
+            reply.synced(),
+            reply.leaving(),
+            reply.licensed(),
+            reply.relay(),
+            reply.handed_over_generation(),
             {reply.target_loads().begin(), reply.target_loads().end()}};
 }
 
@@ -122,7 +127,8 @@
         note_member(this->licence, reply.self().incarnation(), {reply.generation(), asked});
     }
     if (reply.has_proof()) {
-        // The proof was that old when the peer answered, which was after the asking: so it is no older than this.
+        // The proof was that old when the peer answered, which was after the asking: so it is no older than
+        // this.
         const microseconds age{static_cast<std::int64_t>(reply.proof_age_us())};
         note_store_proof(this->licence, {reply.proof_generation(), asked - age});
     }
@@ -222,8 +228,9 @@
     const instant now = this->time.now();
     std::vector<vm_state> vms;
     for (const auto& row : this->known_vms.list.vms()) {
-        vm_state vm{row.name(), row.caller_address(), {row.region(), row.availability_zone()}, row.leaving(), false,
-                    false};
+        vm_state vm{
+            row.name(), row.caller_address(), {row.region(), row.availability_zone()}, row.leaving(), false,
+            false};
         if (row.name() == this->self_member.vm()) {
             vm.leaving = vm.leaving || this->leaving;
             vm.licensed = self_licensed;
--- a/packages/fleet/node_state.h
+++ b/packages/fleet/node_state.h
@@ -119,6 +119,7 @@
 };
 
 // Checks the body against the head's content name and compiles it; nothing when it does not fit.
-[[nodiscard]] std::shared_ptr<const generation_view> make_generation(const schema::Head& head, const std::string& body);
+[[nodiscard]] std::shared_ptr<const generation_view> make_generation(const schema::Head& head,
+                                                                     const std::string& body);
 
 } // namespace cassiaspan
--- a/packages/fleet/overlay.h
+++ b/packages/fleet/overlay.h
@@ -15,7 +15,7 @@
 constexpr std::size_t min_links_outside_region = 2;
 
 // Returns the rows of `list` that `self` pulls from: at most `degree`, chosen by rendezvous hashing.
-[[nodiscard]] std::vector<schema::Vm> choose_overlay_peers(const schema::VmList& list, const schema::Member& self,
-                                                           std::size_t degree);
+[[nodiscard]] std::vector<schema::Vm> choose_overlay_peers(const schema::VmList& list,
+                                                           const schema::Member& self, std::size_t degree);
 
 } // namespace cassiaspan
--- a/packages/fleet/overlay_duty.cpp
+++ b/packages/fleet/overlay_duty.cpp
@@ -13,13 +13,17 @@
 
 } // namespace
 
-overlay_duty::overlay_duty(overlay_options options_in, node_state& node_in, peer_caller& peers_in, const clock& clock_in)
+overlay_duty::overlay_duty(overlay_options options_in, node_state& node_in, peer_caller& peers_in,
+                           const clock& clock_in)
     : options(options_in), node(node_in), peers(peers_in), time(clock_in) {
-    this->node.on_generation(
-        [this](const generation_view& generation) { this->post(generation_adopted{generation.head.generation()}); });
+    this->node.on_generation([this](const generation_view& generation) {
+        this->post(generation_adopted{generation.head.generation()});
+    });
 }
 
-overlay_duty::~overlay_duty() { this->stop(); }
+overlay_duty::~overlay_duty() {
+    this->stop();
+}
 
 void overlay_duty::stop() {
     this->stopping = true;
@@ -32,10 +36,14 @@
     this->thread = std::thread([this] { this->run(); });
 }
 
-void overlay_duty::note_newer(const std::string& peer_address) { this->post(pull_wanted{peer_address}); }
+void overlay_duty::note_newer(const std::string& peer_address) {
+    this->post(pull_wanted{peer_address});
+}
 
 // A full ring loses nothing for good: the next pull tells the same.
-void overlay_duty::post(event item) { static_cast<void>(this->events.push(std::move(item))); }
+void overlay_duty::post(event item) {
+    static_cast<void>(this->events.push(std::move(item)));
+}
 
 void overlay_duty::run() {
     instant next_tick = this->time.now();
@@ -116,7 +124,8 @@
                 this->node.adopt_generation(std::move(next));
             }
         } else {
-            this->fetch(done.peer_address, incarnation, done.reply.head().configuration_name(), done.reply.head(), {});
+            this->fetch(done.peer_address, incarnation, done.reply.head().configuration_name(),
+                        done.reply.head(), {});
         }
     }
     const instant read = done.asked - microseconds{static_cast<std::int64_t>(done.reply.vm_list_age_us())};
@@ -135,11 +144,12 @@
     }
     schema::PeerRequest request;
     request.mutable_fetch()->set_name(name);
-    this->peers.call(*address, incarnation, std::move(request), [this, head, name, read](const peer_result& result) {
-        if (result && result->fetch().found()) {
-            this->post(fetch_done{head, name, read, result->fetch().value()});
-        }
-    });
+    this->peers.call(*address, incarnation, std::move(request),
+                     [this, head, name, read](const peer_result& result) {
+                         if (result && result->fetch().found()) {
+                             this->post(fetch_done{head, name, read, result->fetch().value()});
+                         }
+                     });
 }
 
 void overlay_duty::handle(fetch_done& done) {
@@ -158,9 +168,13 @@
     }
 }
 
-void overlay_duty::handle(pull_wanted& wanted) { this->pull(wanted.peer_address); }
+void overlay_duty::handle(pull_wanted& wanted) {
+    this->pull(wanted.peer_address);
+}
 
-void overlay_duty::handle(call_failed& failed) { this->pulling[failed.peer_address] = false; }
+void overlay_duty::handle(call_failed& failed) {
+    this->pulling[failed.peer_address] = false;
+}
 
 void overlay_duty::handle(generation_adopted& adopted) {
     for (const std::string& peer_address : this->peer_addresses()) {
--- a/packages/fleet/overlay_duty.h
+++ b/packages/fleet/overlay_duty.h
@@ -25,7 +25,8 @@
 // Runs on a thread of its own.
 class overlay_duty {
 public:
-    overlay_duty(overlay_options options_in, node_state& node_in, peer_caller& peers_in, const clock& clock_in);
+    overlay_duty(overlay_options options_in, node_state& node_in, peer_caller& peers_in,
+                 const clock& clock_in);
     ~overlay_duty();
     overlay_duty(const overlay_duty&) = delete;
     overlay_duty& operator=(const overlay_duty&) = delete;
--- a/packages/fleet/peer_auth.h
+++ b/packages/fleet/peer_auth.h
@@ -12,10 +12,10 @@
 // Which way a message goes; part of what is authenticated, so that none can be sent back as the other.
 enum class message_direction : char { request = 'q', reply = 'r' };
 
-// Returns HMAC-SHA256 over direction, context and message, as hexadecimal digits. The context of a reply is the code
-// of its request.
-[[nodiscard]] std::string authenticate(std::string_view secret, message_direction direction, std::string_view context,
-                                       std::string_view message);
+// Returns HMAC-SHA256 over direction, context and message, as hexadecimal digits. The context of a reply is
+// the code of its request.
+[[nodiscard]] std::string authenticate(std::string_view secret, message_direction direction,
+                                       std::string_view context, std::string_view message);
 
 // Compares two codes in constant time.
 [[nodiscard]] bool codes_match(std::string_view left, std::string_view right);
--- a/packages/fleet/peer_channel.cpp
+++ b/packages/fleet/peer_channel.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-peer_caller::peer_caller(peer_client& client_in, std::string secret_in, schema::Member self_in, milliseconds timeout_in)
+peer_caller::peer_caller(peer_client& client_in, std::string secret_in, schema::Member self_in,
+                         milliseconds timeout_in)
     : client(client_in), secret(std::move(secret_in)), self(std::move(self_in)), timeout(timeout_in) {}
 
 void peer_caller::call(const socket_address& address, std::uint64_t incarnation, schema::PeerRequest request,
@@ -34,7 +35,8 @@
     request.set_sequence(++this->sequence);
     std::string body = request.SerializeAsString();
     std::string code = authenticate(this->secret, message_direction::request, "", body);
-    auto handler = [this, code, incarnation, on_result = std::move(on_result)](std::optional<peer_message> reply) {
+    auto handler = [this, code, incarnation,
+                    on_result = std::move(on_result)](std::optional<peer_message> reply) {
         on_result(open_reply(reply, this->secret, code, incarnation));
     };
     this->client.call(address, {code, std::move(body)}, this->timeout, std::move(handler));
@@ -52,7 +54,8 @@
 std::optional<peer_message> peer_gate::answer(const peer_message& message) {
     const std::string code = authenticate(this->secret, message_direction::request, "", message.body);
     schema::PeerRequest request;
-    if (!codes_match(code, message.code) || !request.ParseFromString(message.body) || !this->is_acceptable(request)) {
+    if (!codes_match(code, message.code) || !request.ParseFromString(message.body) ||
+        !this->is_acceptable(request)) {
         ++this->refused_count;
         return std::nullopt;
     }
@@ -66,8 +69,8 @@
 
 bool peer_gate::is_acceptable(const schema::PeerRequest& request) {
     // A pull changes nothing here, so that it may come from a VM that does not know this incarnation yet.
-    const bool meant_for_us = request.to_incarnation() == this->self ||
-                              (request.to_incarnation() == 0 && request.has_pull());
+    const bool meant_for_us =
+        request.to_incarnation() == this->self || (request.to_incarnation() == 0 && request.has_pull());
     return meant_for_us && this->guard.accept(request.from().incarnation(), request.sequence());
 }
 
--- a/packages/fleet/peer_channel.h
+++ b/packages/fleet/peer_channel.h
@@ -25,10 +25,11 @@
 // Sends typed messages in the name of one incarnation.
 class peer_caller {
 public:
-    peer_caller(peer_client& client_in, std::string secret_in, schema::Member self_in, milliseconds timeout_in);
+    peer_caller(peer_client& client_in, std::string secret_in, schema::Member self_in,
+                milliseconds timeout_in);
 
-    // Sends a message to the peer at `address`. Anything but a pull needs the peer's incarnation. The handler runs on
-    // the client's thread and must not wait.
+    // Sends a message to the peer at `address`. Anything but a pull needs the peer's incarnation. The handler
+    // runs on the client's thread and must not wait.
     void call(const socket_address& address, std::uint64_t incarnation, schema::PeerRequest request,
               peer_result_handler on_result);
     // Sends a message and waits for the answer.
@@ -51,7 +52,8 @@
     peer_gate(std::string secret_in, std::uint64_t incarnation, request_handler handler_in)
         : secret(std::move(secret_in)), self(incarnation), handler(std::move(handler_in)) {}
 
-    // Answers a message, or nothing when its code is wrong, it was seen before, or it is meant for another incarnation.
+    // Answers a message, or nothing when its code is wrong, it was seen before, or it is meant for another
+    // incarnation.
     [[nodiscard]] std::optional<peer_message> answer(const peer_message& message);
     // Messages refused so far.
     [[nodiscard]] std::uint64_t refused() const { return this->refused_count.load(); }
--- a/packages/fleet/peer_client.cpp
+++ b/packages/fleet/peer_client.cpp
@@ -33,7 +33,8 @@
     }
 }
 
-void peer_client::call(const socket_address& peer, peer_message message, milliseconds timeout, reply_handler on_reply) {
+void peer_client::call(const socket_address& peer, peer_message message, milliseconds timeout,
+                       reply_handler on_reply) {
     pending_call call{peer, std::move(message), this->time.now() + timeout, on_reply};
     if (!this->queue.push(std::move(call))) {
         on_reply(std::nullopt);
@@ -113,14 +114,15 @@
     }
     link = std::make_unique<peer_link>();
     link->stream.socket = std::move(socket);
-    link->stream.session = h2_session::make_client([raw = link.get()](std::int32_t stream, peer_message message) {
-        const auto found = raw->waiting.find(stream);
-        if (found != raw->waiting.end()) {
-            const reply_handler on_reply = std::move(found->second.on_reply);
-            raw->waiting.erase(found);
-            on_reply(std::move(message));
-        }
-    });
+    link->stream.session =
+        h2_session::make_client([raw = link.get()](std::int32_t stream, peer_message message) {
+            const auto found = raw->waiting.find(stream);
+            if (found != raw->waiting.end()) {
+                const reply_handler on_reply = std::move(found->second.on_reply);
+                raw->waiting.erase(found);
+                on_reply(std::move(message));
+            }
+        });
     return link.get();
 }
 
--- a/packages/fleet/peer_server.cpp
+++ b/packages/fleet/peer_server.cpp
@@ -10,7 +10,7 @@
     : listener(std::move(listener_in)), wake(std::move(wake_in)), handler(std::move(handler_in)) {}
 
 tl::expected<std::unique_ptr<peer_server>, std::string> peer_server::start(const socket_address& address,
-                                                                          peer_handler handler) {
+                                                                           peer_handler handler) {
     auto listener = listen_on(address);
     if (!listener) {
         return tl::make_unexpected(listener.error());
@@ -50,20 +50,22 @@
 }
 
 void peer_server::accept_all() {
-    for (file_descriptor socket = accept_from(this->listener); socket.get() >= 0; socket = accept_from(this->listener)) {
+    for (file_descriptor socket = accept_from(this->listener); socket.get() >= 0;
+         socket = accept_from(this->listener)) {
         if (this->connections.size() >= max_peer_connections) {
             continue;
         }
         peer_connection& connection = this->connections.emplace_back();
         connection.stream.socket = std::move(socket);
-        connection.stream.session = h2_session::make_server([this, &connection](std::int32_t stream, peer_message message) {
-            auto reply = this->handler(std::move(message));
-            if (reply) {
-                connection.stream.session->submit_reply(stream, std::move(*reply));
-            } else {
-                connection.refused = true;
-            }
-        });
+        connection.stream.session =
+            h2_session::make_server([this, &connection](std::int32_t stream, peer_message message) {
+                auto reply = this->handler(std::move(message));
+                if (reply) {
+                    connection.stream.session->submit_reply(stream, std::move(*reply));
+                } else {
+                    connection.refused = true;
+                }
+            });
     }
 }
 
--- a/packages/fleet/peer_server.h
+++ b/packages/fleet/peer_server.h
@@ -25,7 +25,7 @@
 public:
     // Starts to listen, or says why it cannot. The handler runs on the server's thread and must not wait.
     static tl::expected<std::unique_ptr<peer_server>, std::string> start(const socket_address& address,
-                                                                        peer_handler handler);
+                                                                         peer_handler handler);
     ~peer_server();
     peer_server(const peer_server&) = delete;
     peer_server& operator=(const peer_server&) = delete;
--- a/packages/fleet/record_home.cpp
+++ b/packages/fleet/record_home.cpp
@@ -31,7 +31,8 @@
     return present != 0 && present != home.incarnation();
 }
 
-std::optional<schema::ClaimReply> record_home::claim_at(const schema::Member& home, const schema::Claim& message) {
+std::optional<schema::ClaimReply> record_home::claim_at(const schema::Member& home,
+                                                        const schema::Claim& message) {
     if (is_self(this->node, home)) {
         return this->answer(message);
     }
@@ -59,7 +60,8 @@
     return result && result->complete().stored();
 }
 
-claim_result record_home::claim_everywhere(const schema::IdempotencyRecord& record, const std::string& home_region) {
+claim_result record_home::claim_everywhere(const schema::IdempotencyRecord& record,
+                                           const std::string& home_region) {
     const auto generation = this->node.current();
     if (!generation) {
         return {};
@@ -152,8 +154,9 @@
     const auto belongs = [&](const schema::IdempotencyRecord& record) {
         const auto& workspaces = generation.configuration->workspaces();
         const auto workspace =
-            std::find_if(workspaces.begin(), workspaces.end(),
-                         [&](const workspace_view& candidate) { return candidate.name == record.workspace(); });
+            std::find_if(workspaces.begin(), workspaces.end(), [&](const workspace_view& candidate) {
+                return candidate.name == record.workspace();
+            });
         const std::string region = workspace == workspaces.end() ? "" : workspace->home_region;
         const auto homes = record_homes(generation.head.lists(0), record.workspace(), record.key(), region);
         return std::any_of(homes.begin(), homes.end(), [&](const schema::Member& candidate) {
--- a/packages/fleet/record_home.h
+++ b/packages/fleet/record_home.h
@@ -1,7 +1,7 @@
 // Idempotency records of this VM, as a home of them, and claims of records at their homes, as an entry VM.
 //
-// Both homes hold a claim before the request is dispatched. The paper (Big Bunny, "How Replication Works") copies
-// after answering instead; what that would lose is measured in docs/PROOFS.md.
+// Both homes hold a claim before the request is dispatched. The paper (Big Bunny, "How Replication Works")
+// copies after answering instead; what that would lose is measured in docs/PROOFS.md.
 #pragma once
 
 #include "idempotency.h"
@@ -40,9 +40,10 @@
     // Claims the record at all its homes, waiting for their answers.
     [[nodiscard]] claim_result claim_everywhere(const schema::IdempotencyRecord& record,
                                                 const std::string& home_region);
-    // Stores the outcome at all homes, or releases the claim of an attempt that was certainly not run. Returns whether
-    // every home has it.
-    bool finish_everywhere(const schema::IdempotencyRecord& record, const std::string& home_region, bool release);
+    // Stores the outcome at all homes, or releases the claim of an attempt that was certainly not run.
+    // Returns whether every home has it.
+    bool finish_everywhere(const schema::IdempotencyRecord& record, const std::string& home_region,
+                           bool release);
 
     // Answers peers.
     [[nodiscard]] schema::ClaimReply answer(const schema::Claim& message);
@@ -56,7 +57,8 @@
     [[nodiscard]] std::size_t size() const;
 
 private:
-    [[nodiscard]] std::optional<schema::ClaimReply> claim_at(const schema::Member& home, const schema::Claim& message);
+    [[nodiscard]] std::optional<schema::ClaimReply> claim_at(const schema::Member& home,
+                                                             const schema::Claim& message);
     [[nodiscard]] bool finish_at(const schema::Member& home, const schema::Complete& message);
     [[nodiscard]] bool hand_over_to(const schema::Member& home, const generation_view& generation);
     [[nodiscard]] bool is_ended(const schema::Member& home) const;
--- a/packages/fleet/records_duty.cpp
+++ b/packages/fleet/records_duty.cpp
@@ -8,10 +8,13 @@
 
 } // namespace
 
-records_duty::records_duty(record_home& records_in, node_state& node_in, std::function<void(std::uint64_t)> on_done_in)
+records_duty::records_duty(record_home& records_in, node_state& node_in,
+                           std::function<void(std::uint64_t)> on_done_in)
     : records(records_in), node(node_in), on_done(std::move(on_done_in)) {}
 
-records_duty::~records_duty() { this->stop(); }
+records_duty::~records_duty() {
+    this->stop();
+}
 
 void records_duty::stop() {
     {
--- a/packages/fleet/records_duty.h
+++ b/packages/fleet/records_duty.h
@@ -1,4 +1,5 @@
-// Hands idempotency records over to their new homes after each change of the member list, and forgets old ones.
+// Hands idempotency records over to their new homes after each change of the member list, and forgets old
+// ones.
 #pragma once
 
 #include "node_state.h"
--- a/packages/fleet/store_duty.cpp
+++ b/packages/fleet/store_duty.cpp
@@ -19,7 +19,9 @@
     : options(options_in), store(store_in), node(node_in), members(members_in), time(clock_in),
       on_event(std::move(on_event_in)), lease_owner(std::to_string(node_in.self().incarnation())) {}
 
-store_duty::~store_duty() { this->stop(); }
+store_duty::~store_duty() {
+    this->stop();
+}
 
 void store_duty::stop() {
     {
@@ -67,7 +69,9 @@
     }
 }
 
-void store_duty::note_failure(const std::string& call) { this->on_event(store_event::call_failed, call); }
+void store_duty::note_failure(const std::string& call) {
+    this->on_event(store_event::call_failed, call);
+}
 
 bool store_duty::needs_proof() const {
     const auto age = this->node.proof_age();
@@ -89,7 +93,8 @@
         return;
     }
     this->relay_checked = now;
-    const auto held = this->store.take_lease("relay/" + this->node.self().region(), this->lease_owner, this->options.lease_ttl);
+    const auto held = this->store.take_lease("relay/" + this->node.self().region(), this->lease_owner,
+                                             this->options.lease_ttl);
     if (!held) {
         this->note_failure("lease of the relay");
         return;
@@ -97,7 +102,8 @@
     if (*held != this->relay) {
         this->relay = *held;
         this->node.set_relay(*held);
-        this->on_event(*held ? store_event::relay_taken : store_event::relay_lost, this->node.self().region());
+        this->on_event(*held ? store_event::relay_taken : store_event::relay_lost,
+                       this->node.self().region());
     }
 }
 
@@ -224,7 +230,8 @@
     if (!head || head->generation() != this->head_generation + 1) {
         return;
     }
-    const auto outcome = this->store.compare_and_swap(head_key, head->SerializeAsString(), this->head_revision);
+    const auto outcome =
+        this->store.compare_and_swap(head_key, head->SerializeAsString(), this->head_revision);
     if (!outcome) {
         // Whether it was written shows at the next watch.
         this->note_failure("write of the head");
--- a/packages/fleet/store_duty.h
+++ b/packages/fleet/store_duty.h
@@ -1,5 +1,5 @@
-// Keeps this VM in touch with the platform. A relay, one VM of each region by lease, watches the head and reads the
-// list of VMs; the other VMs call the store only when their peers have no fresh proof for them.
+// Keeps this VM in touch with the platform. A relay, one VM of each region by lease, watches the head and
+// reads the list of VMs; the other VMs call the store only when their peers have no fresh proof for them.
 #pragma once
 
 #include "members_duty.h"
@@ -34,8 +34,8 @@
 public:
     using event_handler = std::function<void(store_event, const std::string&)>;
 
-    store_duty(store_duty_options options_in, store_client& store_in, node_state& node_in, members_duty& members_in,
-               const clock& clock_in, event_handler on_event_in);
+    store_duty(store_duty_options options_in, store_client& store_in, node_state& node_in,
+               members_duty& members_in, const clock& clock_in, event_handler on_event_in);
     ~store_duty();
     store_duty(const store_duty&) = delete;
     store_duty& operator=(const store_duty&) = delete;
--- a/packages/fleet/stream_socket.cpp
+++ b/packages/fleet/stream_socket.cpp
@@ -41,7 +41,9 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
-bool would_block() { return errno == EAGAIN || errno == EWOULDBLOCK; }
+bool would_block() {
+    return errno == EAGAIN || errno == EWOULDBLOCK;
+}
 
 } // namespace
 
@@ -58,8 +60,8 @@
     setsockopt(socket.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     if (bind(socket.get(), reinterpret_cast<const sockaddr*>(&native.storage), native.size) != 0 ||
         listen(socket.get(), listen_backlog) != 0) {
-        return tl::make_unexpected("cannot listen on " + address.host + ":" + std::to_string(address.port) + ": " +
-                                   std::strerror(errno)); // NOLINT(concurrency-mt-unsafe): at start
+        return tl::make_unexpected("cannot listen on " + address.host + ":" + std::to_string(address.port) +
+                                   ": " + std::strerror(errno)); // NOLINT(concurrency-mt-unsafe): at start
     }
     return socket;
 }
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -16,7 +16,8 @@
 
 bool has_token(const http_response_head& head, const char* name, const char* token) {
     for (const http_header& header : head.headers) {
-        if (strcasecmp(header.name.c_str(), name) == 0 && strcasestr(header.value.c_str(), token) != nullptr) {
+        if (strcasecmp(header.name.c_str(), name) == 0 &&
+            strcasestr(header.value.c_str(), token) != nullptr) {
             return true;
         }
     }
@@ -66,9 +67,12 @@
 
 } // namespace
 
-void http_connection::closer::operator()(mg_connection* handle) const { mg_close_connection(handle); }
+void http_connection::closer::operator()(mg_connection* handle) const {
+    mg_close_connection(handle);
+}
 
-tl::expected<http_connection, http_failure> http_connection::open(const socket_address& server, std::set<int>& known) {
+tl::expected<http_connection, http_failure> http_connection::open(const socket_address& server,
+                                                                  std::set<int>& known) {
     std::array<char, error_text_bytes> text{};
     mg_connection* opened = mg_connect_client(server.host.c_str(), server.port, 0, text.data(), text.size());
     if (opened == nullptr) {
@@ -91,7 +95,8 @@
 
 tl::expected<http_response_head, http_failure> http_connection::read_head(milliseconds timeout) {
     std::array<char, error_text_bytes> text{};
-    if (mg_get_response(this->handle.get(), text.data(), text.size(), static_cast<int>(timeout.count())) < 0) {
+    if (mg_get_response(this->handle.get(), text.data(), text.size(), static_cast<int>(timeout.count())) <
+        0) {
         return tl::make_unexpected(http_failure::waiting);
     }
     const mg_response_info* info = mg_get_response_info(this->handle.get());
@@ -101,7 +106,9 @@
     return to_head(*info);
 }
 
-int http_connection::read(char* buffer, std::size_t size) { return mg_read(this->handle.get(), buffer, size); }
+int http_connection::read(char* buffer, std::size_t size) {
+    return mg_read(this->handle.get(), buffer, size);
+}
 
 tl::expected<pooled_connection, http_failure> connection_pool::take(nanoseconds max_idle, instant now) {
     const std::scoped_lock lock(this->mutex);
@@ -153,8 +160,8 @@
     const http_connection closed = std::move(connection);
 }
 
-tl::expected<http_answer, http_failure> exchange(connection_pool& pool, watchdog& guard, const http_call& call,
-                                                 const clock& time) {
+tl::expected<http_answer, http_failure> exchange(connection_pool& pool, watchdog& guard,
+                                                 const http_call& call, const clock& time) {
     constexpr seconds max_idle{5};
     const instant deadline = time.now() + call.timeout;
     auto taken = pool.take(max_idle, time.now());
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -45,7 +45,8 @@
 class http_connection {
 public:
     // Connects to the server.
-    static tl::expected<http_connection, http_failure> open(const socket_address& server, std::set<int>& known);
+    static tl::expected<http_connection, http_failure> open(const socket_address& server,
+                                                            std::set<int>& known);
 
     http_connection(http_connection&&) noexcept = default;
     http_connection& operator=(http_connection&&) noexcept = default;
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -20,12 +20,15 @@
 // One worker in this many is kept free.
 constexpr std::size_t reserve_divisor = 8;
 
-std::size_t reserve_of(std::size_t workers) { return std::max<std::size_t>(1, workers / reserve_divisor); }
+std::size_t reserve_of(std::size_t workers) {
+    return std::max<std::size_t>(1, workers / reserve_divisor);
+}
 
 std::string listen_text(const http_server_options& options) {
     const bool v6 = options.address.host.find(':') != std::string::npos;
     const std::string host = v6 ? "[" + options.address.host + "]" : options.address.host;
-    return host + ":" + std::to_string(options.address.port) + (options.tls_certificate_file.empty() ? "" : "s");
+    return host + ":" + std::to_string(options.address.port) +
+           (options.tls_certificate_file.empty() ? "" : "s");
 }
 
 // Options as CivetWeb takes them: names and values in turn.
@@ -55,7 +58,8 @@
                                    "linger_timeout_ms",
                                    "500"};
     if (!options.tls_certificate_file.empty()) {
-        texts.insert(texts.end(), {"ssl_certificate", options.tls_certificate_file, "ssl_protocol_version", "4"});
+        texts.insert(texts.end(),
+                     {"ssl_certificate", options.tls_certificate_file, "ssl_protocol_version", "4"});
     }
     return texts;
 }
@@ -98,8 +102,8 @@
 http_server::http_server(http_handler handler_in, const clock& clock_in, std::size_t worker_count)
     : handler(std::move(handler_in)), time(clock_in), workers(worker_count) {}
 
-tl::expected<std::unique_ptr<http_server>, std::string> http_server::start(const http_server_options& options,
-                                                                          http_handler handler, const clock& time) {
+tl::expected<std::unique_ptr<http_server>, std::string>
+http_server::start(const http_server_options& options, http_handler handler, const clock& time) {
     mg_init_library(options.tls_certificate_file.empty() ? 0U : static_cast<unsigned>(MG_FEATURES_TLS));
     std::unique_ptr<http_server> server(new http_server(std::move(handler), time, options.workers));
     const std::vector<std::string> texts = render_options(options);
@@ -137,8 +141,9 @@
 
 std::uint16_t http_server::port() const {
     std::array<mg_server_port, 1> ports{};
-    return mg_get_server_ports(this->context, 1, ports.data()) == 1 ? static_cast<std::uint16_t>(ports[0].port)
-                                                                  : std::uint16_t{0};
+    return mg_get_server_ports(this->context, 1, ports.data()) == 1
+               ? static_cast<std::uint16_t>(ports[0].port)
+               : std::uint16_t{0};
 }
 
 void http_server::set_phase(const mg_connection* connection, phase stage) {
@@ -159,14 +164,18 @@
     }
 }
 
-void http_server::note_body_done(const mg_connection* connection) { this->set_phase(connection, phase::answering); }
+void http_server::note_body_done(const mg_connection* connection) {
+    this->set_phase(connection, phase::answering);
+}
 
 std::size_t http_server::connections() const {
     const std::scoped_lock lock(this->mutex);
     return this->open.size();
 }
 
-bool http_server::is_crowded() const { return this->connections() + reserve_of(this->workers) > this->workers; }
+bool http_server::is_crowded() const {
+    return this->connections() + reserve_of(this->workers) > this->workers;
+}
 
 bool http_server::may_close(const connection_state& state, instant now) const {
     const std::chrono::duration<double> age = now - state.since;
@@ -187,7 +196,8 @@
     }
 }
 
-// Runs under the lock. A connection leaves `open` under it before its socket is closed, so the socket found is its own.
+// Runs under the lock. A connection leaves `open` under it before its socket is closed, so the socket found
+// is its own.
 void http_server::close_idle_connections() {
     const std::size_t keep = this->workers - reserve_of(this->workers);
     std::vector<connection_state*> candidates;
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -1,4 +1,5 @@
-// An HTTP server (CivetWeb) with everything but the handler turned off, that idle and slow callers cannot fill up.
+// An HTTP server (CivetWeb) with everything but the handler turned off, that idle and slow callers cannot
+// fill up.
 #pragma once
 
 #include "address.h"
@@ -34,13 +35,13 @@
 // Answers one request on a connection of the server and returns its status code.
 using http_handler = std::function<int(http_server&, mg_connection*, const mg_request_info&)>;
 
-// A running server. A connection holds one worker; when free workers run low, connections that wait for their next
-// request, or send a body too slowly, are closed, oldest first.
+// A running server. A connection holds one worker; when free workers run low, connections that wait for their
+// next request, or send a body too slowly, are closed, oldest first.
 class http_server {
 public:
     // Starts to listen, or says why it cannot.
-    static tl::expected<std::unique_ptr<http_server>, std::string> start(const http_server_options& options,
-                                                                        http_handler handler, const clock& time);
+    static tl::expected<std::unique_ptr<http_server>, std::string>
+    start(const http_server_options& options, http_handler handler, const clock& time);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/packages/net/socket_finder.cpp
+++ b/packages/net/socket_finder.cpp
@@ -58,8 +58,12 @@
     return std::nullopt;
 }
 
-bool is_readable(int descriptor) { return poll_now(descriptor, POLLIN | POLLRDHUP) != 0; }
+bool is_readable(int descriptor) {
+    return poll_now(descriptor, POLLIN | POLLRDHUP) != 0;
+}
 
-bool is_hung_up(int descriptor) { return (poll_now(descriptor, POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0; }
+bool is_hung_up(int descriptor) {
+    return (poll_now(descriptor, POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
 
 } // namespace cassiaspan
--- a/packages/net/socket_finder.h
+++ b/packages/net/socket_finder.h
@@ -1,5 +1,5 @@
-// Finds the descriptor of a connection by its far end. CivetWeb keeps descriptors to itself, but deadlines and
-// hung-up callers can only be acted on through them.
+// Finds the descriptor of a connection by its far end. CivetWeb keeps descriptors to itself, but deadlines
+// and hung-up callers can only be acted on through them.
 #pragma once
 
 #include "address.h"
--- a/packages/net/watchdog.cpp
+++ b/packages/net/watchdog.cpp
@@ -18,7 +18,9 @@
     }
 }
 
-bool watchdog::guarded_socket::finish() const { return this->owner_dog->remove(this->watch_id); }
+bool watchdog::guarded_socket::finish() const {
+    return this->owner_dog->remove(this->watch_id);
+}
 
 watchdog::watchdog(const clock& clock_in) : time(clock_in), thread([this] { this->run(); }) {}
 
@@ -58,7 +60,8 @@
     }
 }
 
-// Runs under the lock: an entry is removed before its socket is closed, so the number is still the same socket's.
+// Runs under the lock: an entry is removed before its socket is closed, so the number is still the same
+// socket's.
 void watchdog::cut_expired() {
     const instant now = this->time.now();
     for (auto& [id, watched] : this->entries) {
--- a/packages/net/watchdog.h
+++ b/packages/net/watchdog.h
@@ -1,4 +1,5 @@
-// Cuts sockets at their deadlines. Blocking library calls then return, so that no thread waits longer than it may.
+// Cuts sockets at their deadlines. Blocking library calls then return, so that no thread waits longer than it
+// may.
 #pragma once
 
 #include "clock.h"
@@ -40,8 +41,8 @@
     watchdog(watchdog&&) = delete;
     watchdog& operator=(watchdog&&) = delete;
 
-    // Cuts `socket` at `deadline`, or as soon as `companion`, the socket of the caller, is hung up. Negative numbers
-    // are not watched.
+    // Cuts `socket` at `deadline`, or as soon as `companion`, the socket of the caller, is hung up. Negative
+    // numbers are not watched.
     [[nodiscard]] guarded_socket watch(int socket, instant deadline, int companion = -1);
 
 private:
--- a/packages/platform/store_client.cpp
+++ b/packages/platform/store_client.cpp
@@ -66,8 +66,9 @@
 
 tl::expected<schema::StoreReply, store_failure> store_client::call_store(const schema::StoreRequest& request,
                                                                          milliseconds timeout) {
-    auto body = this->send(this->store_pool,
-                           {"POST", "/v1/kv", "application/x-protobuf", request.SerializeAsString(), timeout, {}});
+    auto body =
+        this->send(this->store_pool,
+                   {"POST", "/v1/kv", "application/x-protobuf", request.SerializeAsString(), timeout, {}});
     if (!body) {
         return tl::make_unexpected(body.error());
     }
@@ -130,7 +131,8 @@
 }
 
 tl::expected<schema::VmList, store_failure> store_client::list_vms() {
-    auto body = this->send(this->vm_list_pool, {"GET", "/v1/vms", "application/x-protobuf", "", this->options.timeout, {}});
+    auto body = this->send(this->vm_list_pool,
+                           {"GET", "/v1/vms", "application/x-protobuf", "", this->options.timeout, {}});
     if (!body) {
         return tl::make_unexpected(body.error());
     }
--- a/packages/platform/store_client.h
+++ b/packages/platform/store_client.h
@@ -1,6 +1,7 @@
 // The platform's key-value service and list of VMs, as one VM or operator uses them.
 //
-// Every call has a time-out and counts against a budget; after a failure calls wait with a growing, random pause.
+// Every call has a time-out and counts against a budget; after a failure calls wait with a growing, random
+// pause.
 #pragma once
 
 #include "http_client.h"
@@ -46,15 +47,14 @@
     // Reads a key.
     [[nodiscard]] tl::expected<stored_value, store_failure> get(const std::string& key);
     // Writes a key that is still at `expected_revision`.
-    [[nodiscard]] tl::expected<cas_outcome, store_failure> compare_and_swap(const std::string& key,
-                                                                            const std::string& value,
-                                                                            std::uint64_t expected_revision);
+    [[nodiscard]] tl::expected<cas_outcome, store_failure>
+    compare_and_swap(const std::string& key, const std::string& value, std::uint64_t expected_revision);
     // Waits for up to `wait` until the key is past `revision`; returns what stands there then.
-    [[nodiscard]] tl::expected<stored_value, store_failure> watch(const std::string& key, std::uint64_t revision,
-                                                                  milliseconds wait);
+    [[nodiscard]] tl::expected<stored_value, store_failure> watch(const std::string& key,
+                                                                  std::uint64_t revision, milliseconds wait);
     // Takes or renews a lease; returns whether `owner` holds it now.
-    [[nodiscard]] tl::expected<bool, store_failure> take_lease(const std::string& name, const std::string& owner,
-                                                               milliseconds time_to_live);
+    [[nodiscard]] tl::expected<bool, store_failure>
+    take_lease(const std::string& name, const std::string& owner, milliseconds time_to_live);
     // Gives a lease back.
     void release_lease(const std::string& name, const std::string& owner);
     // Reads the list of VMs.
@@ -67,8 +67,8 @@
 
 private:
     [[nodiscard]] tl::expected<std::string, store_failure> send(connection_pool& pool, const http_call& call);
-    [[nodiscard]] tl::expected<schema::StoreReply, store_failure> call_store(const schema::StoreRequest& request,
-                                                                             milliseconds timeout);
+    [[nodiscard]] tl::expected<schema::StoreReply, store_failure>
+    call_store(const schema::StoreRequest& request, milliseconds timeout);
     [[nodiscard]] bool take_call();
     void note_result(bool success);
 
--- a/packages/policy/budget.cpp
+++ b/packages/policy/budget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/multiprecision/cpp_int.hpp>
+#include <cmath>
 
 namespace cassiaspan {
 
@@ -12,6 +13,14 @@
 
 constexpr std::int64_t nanoseconds_per_second = 1'000'000'000;
 constexpr nanoseconds demand_window = milliseconds{250};
+// Windows over which the demand is smoothed.
+constexpr std::int64_t smoothing_windows = 8;
+// A lender keeps a twentieth above its own demand, a borrower wants an eighth above: with wider margins a
+// fleet that is loaded to nine tenths could not meet all wishes.
+constexpr std::int64_t kept_margin_divisor = 20;
+constexpr std::int64_t wanted_margin_divisor = 8;
+// Tokens that a VM without any asks for.
+constexpr std::int64_t urgent_requests = 4;
 // A refill over a longer time than this is full for every contract that the checks let pass.
 constexpr nanoseconds max_refill_time = seconds{3600};
 
@@ -79,21 +88,13 @@
     }
     const auto measured = static_cast<std::int64_t>(wide(state.arrivals) * micro_requests *
                                                     nanoseconds_per_second / elapsed.count());
-    state.demand = elapsed > 4 * demand_window ? measured : (state.demand + measured) / 2;
+    state.demand = elapsed > 4 * demand_window
+                       ? measured
+                       : ((smoothing_windows - 1) * state.demand + measured) / smoothing_windows;
     state.arrivals = 0;
     state.demand_since = now;
 }
 
-std::size_t count_borrowers(const budget& state, std::uint64_t asking) {
-    std::vector<std::uint64_t> parties{asking};
-    for (const loan& entry : state.lent) {
-        if (std::find(parties.begin(), parties.end(), entry.party) == parties.end()) {
-            parties.push_back(entry.party);
-        }
-    }
-    return parties.size();
-}
-
 share lent_to(const budget& state, std::uint64_t borrower) {
     share held;
     for (const loan& entry : state.lent) {
@@ -105,20 +106,82 @@
     return held;
 }
 
-// The lender keeps what its own callers use, with a quarter to spare, and divides the rest evenly.
-share spare_share(const budget& state, std::uint64_t borrower) {
+// The lender keeps what its own callers use, with a little to spare.
+share lendable_share(const budget& state) {
+    const std::int64_t own_rate =
+        std::min(state.base.rate, state.demand + state.demand / kept_margin_divisor);
+    const std::int64_t own_cap =
+        state.base.rate == 0 ? 0
+                             : static_cast<std::int64_t>(wide(state.base.cap) * own_rate / state.base.rate);
+    // Tokens above half of what may be held are a reserve that others may need more.
+    const std::int64_t reserve = std::min(state.base.cap, state.tokens - effective_share(state).cap / 2);
+    return {state.base.rate - own_rate, std::max(state.base.cap - own_cap, reserve)};
+}
+
+// The latest wish of each party but `borrower`, by one part of a share.
+std::vector<std::int64_t> other_wishes(const budget& state, std::uint64_t borrower,
+                                       std::int64_t share::*part) {
+    std::vector<std::pair<std::uint64_t, std::int64_t>> latest;
+    for (const loan& entry : state.lent) {
+        const auto found = std::find_if(latest.begin(), latest.end(),
+                                        [&](const auto& wish) { return wish.first == entry.party; });
+        if (entry.party != borrower && found == latest.end()) {
+            latest.emplace_back(entry.party, entry.wanted.*part);
+        } else if (entry.party != borrower) {
+            found->second = entry.wanted.*part;
+        }
+    }
+    std::vector<std::int64_t> wishes;
+    for (const auto& [party, wish] : latest) {
+        wishes.push_back(wish);
+    }
+    return wishes;
+}
+
+// Max-min fairness: small wishes are met, what is left is divided evenly among the larger ones.
+std::int64_t fair_part(std::int64_t available, std::int64_t own, std::vector<std::int64_t> others) {
+    others.push_back(own);
+    std::sort(others.begin(), others.end());
+    std::int64_t left = std::max<std::int64_t>(0, available);
+    auto remaining = static_cast<std::int64_t>(others.size());
+    for (const std::int64_t wish : others) {
+        const std::int64_t part = std::min(wish, left / remaining);
+        if (wish >= own) {
+            return std::min(own, part);
+        }
+        left -= part;
+        --remaining;
+    }
+    return 0;
+}
+
+// A loan that shrinks a little would be lost to both sides until the larger one has run out, so it stays as
+// it is.
+std::int64_t steady_wish(std::int64_t wanted, std::int64_t held) {
+    return wanted < held && wanted >= held - held / 2 ? held : wanted;
+}
+
+// A borrower's fair part of what can be lent, as far as others do not hold it already.
+share offered_share(const budget& state, std::uint64_t borrower, share wanted) {
     const share lent = sum_by_party(state.lent);
     const share held = lent_to(state, borrower);
-    const share others{lent.rate - held.rate, lent.cap - held.cap};
-    const std::int64_t own_rate = std::min(state.base.rate, state.demand + state.demand / 4);
-    const std::int64_t own_cap =
-        state.base.rate == 0
-            ? 0
-            : static_cast<std::int64_t>(wide(state.base.cap) * own_rate / state.base.rate);
-    const auto borrowers = static_cast<std::int64_t>(count_borrowers(state, borrower));
-    const share lendable{state.base.rate - own_rate, state.base.cap - own_cap};
-    return {std::clamp<std::int64_t>(lendable.rate / borrowers, 0, std::max<std::int64_t>(0, state.base.rate - others.rate)),
-            std::clamp<std::int64_t>(lendable.cap / borrowers, 0, std::max<std::int64_t>(0, state.base.cap - others.cap))};
+    const share lendable = lendable_share(state);
+    const share free{lendable.rate - (lent.rate - held.rate), lendable.cap - (lent.cap - held.cap)};
+    const share fair{fair_part(lendable.rate, wanted.rate, other_wishes(state, borrower, &share::rate)),
+                     fair_part(lendable.cap, wanted.cap, other_wishes(state, borrower, &share::cap))};
+    return {std::clamp<std::int64_t>(free.rate, 0, fair.rate),
+            std::clamp<std::int64_t>(free.cap, 0, fair.cap)};
+}
+
+// Arrivals per second in millionths: the smoothed rate, or what the present window shows beyond doubt.
+std::int64_t expected_demand(const budget& state) {
+    constexpr double shortest_window_s = 0.1;
+    const double elapsed_s = std::chrono::duration<double>(state.updated - state.demand_since).count();
+    const auto arrivals = static_cast<double>(state.arrivals);
+    // Two standard deviations of a Poisson count below what was counted.
+    const double certain = std::max(0.0, arrivals - 2 * std::sqrt(arrivals));
+    const double rate = certain / std::max(elapsed_s, shortest_window_s);
+    return std::max(state.demand, static_cast<std::int64_t>(rate * micro_requests));
 }
 
 } // namespace
@@ -180,23 +243,29 @@
     return {std::max<std::int64_t>(0, sum.rate), std::max<std::int64_t>(0, sum.cap)};
 }
 
-std::optional<grant> lend(budget& state, std::uint64_t borrower, share wanted, milliseconds duration, instant now) {
+std::optional<grant> lend(budget& state, std::uint64_t borrower, share wanted, milliseconds duration,
+                          instant now) {
     advance(state, now);
     const share held = lent_to(state, borrower);
-    const share spare = spare_share(state, borrower);
-    const share amount{std::min(wanted.rate, spare.rate), std::min(wanted.cap, spare.cap)};
+    wanted = {steady_wish(wanted.rate, held.rate), steady_wish(wanted.cap, held.cap)};
+    const share amount = offered_share(state, borrower, wanted);
+    const nanoseconds kept = duration + nanoseconds{duration} / clock_drift_divisor;
     if (amount.rate <= 0 && amount.cap <= 0) {
+        // The wish is remembered, so that the next renewal by others leaves something.
+        std::erase_if(state.lent, [borrower](const loan& entry) {
+            return entry.party == borrower && entry.amount == share{};
+        });
+        state.lent.push_back({borrower, {}, wanted, now + kept});
         return std::nullopt;
     }
     const std::int64_t added_cap = std::max<std::int64_t>(0, amount.cap - held.cap);
     // Tokens on their way must stand under a cap that neither side uses meanwhile: only the added one.
     const std::int64_t tokens = std::clamp<std::int64_t>(state.tokens, 0, added_cap);
     state.tokens -= tokens;
-    const nanoseconds kept = duration + nanoseconds{duration} / clock_drift_divisor;
     std::erase_if(state.lent, [&](const loan& entry) {
         return entry.party == borrower && entry.amount.rate <= amount.rate && entry.amount.cap <= amount.cap;
     });
-    state.lent.push_back({borrower, amount, now + kept});
+    state.lent.push_back({borrower, amount, wanted, now + kept});
     clip(state);
     return grant{amount, tokens};
 }
@@ -207,7 +276,7 @@
         return;
     }
     std::erase_if(state.borrowed, [lender](const loan& entry) { return entry.party == lender; });
-    state.borrowed.push_back({lender, granted.amount, until});
+    state.borrowed.push_back({lender, granted.amount, granted.amount, until});
     state.tokens += granted.tokens;
     clip(state);
 }
@@ -222,14 +291,20 @@
     }
     const std::int64_t own_rate = present.rate - borrowed_rate;
     const std::int64_t own_cap = present.cap - borrowed_cap;
-    const bool short_of_rate = state.demand + state.demand / 4 > own_rate;
-    const bool short_of_tokens = state.tokens < std::max(2 * micro_requests, own_cap / 2) && state.demand + state.arrivals > 0;
+    const std::int64_t demand = std::min(expected_demand(state), contract.rate);
+    const bool short_of_rate = demand > own_rate;
+    const bool short_of_tokens = state.tokens < micro_requests && demand > 0;
     if (!short_of_rate && !short_of_tokens) {
         return {};
     }
-    const std::int64_t headroom = std::max<std::int64_t>(micro_requests, contract.rate / 10);
-    return {std::clamp<std::int64_t>(state.demand + state.demand / 2 + headroom - own_rate, 0, contract.rate),
-            std::max<std::int64_t>(0, contract.cap - own_cap)};
+    const std::int64_t rate = std::min(contract.rate, demand + demand / wanted_margin_divisor);
+    const auto cap =
+        static_cast<std::int64_t>(wide(contract.cap) * rate / std::max<std::int64_t>(1, contract.rate));
+    // A VM whose tokens have just run out needs some at once, whatever its rate.
+    const std::int64_t at_once =
+        short_of_tokens ? std::max(urgent_requests * micro_requests, contract.cap / 8) : 0;
+    return {std::max<std::int64_t>(0, rate - own_rate),
+            std::clamp<std::int64_t>(cap + at_once - own_cap, 0, contract.cap)};
 }
 
 } // namespace cassiaspan
--- a/packages/policy/budget.h
+++ b/packages/policy/budget.h
@@ -1,9 +1,9 @@
 // The part of a workspace's rate and burst that one VM may spend, and loans of it between VMs.
 //
 // The shares of all VMs never sum to more than the contract, at any instant: a lender lowers its share before
-// the borrower raises its own, and raises it again only after the loan has ended at the borrower. Tokens never
-// exceed the caps they stand under. Together this gives, over every window t and all VMs,
-// admitted <= burst + rate * t.
+// the borrower raises its own, and raises it again only after the loan has ended at the borrower. Tokens
+// never exceed the caps they stand under. Together this gives, over every window t and all VMs, admitted <=
+// burst + rate * t.
 #pragma once
 
 #include "clock.h"
@@ -32,6 +32,8 @@
 struct loan {
     std::uint64_t party = 0;
     share amount;
+    // What the borrower asked for; what it got may be less.
+    share wanted;
     instant until;
     auto operator<=>(const loan&) const = default;
 };
@@ -79,11 +81,11 @@
 // The share this VM may spend at the moment: base, less lent, plus borrowed.
 [[nodiscard]] share effective_share(const budget& state);
 
-// Lends up to `wanted` to `borrower` for `duration`, counted by the borrower from before this call. The result is
-// what the borrower holds from this VM in all; nothing when there is no spare share. The share comes back here
-// after the duration and the drift allowance.
-[[nodiscard]] std::optional<grant> lend(budget& state, std::uint64_t borrower, share wanted, milliseconds duration,
-                                        instant now);
+// Lends up to `wanted` to `borrower` for `duration`, counted by the borrower from before this call. The
+// result is what the borrower holds from this VM in all; nothing when there is no spare share. The share
+// comes back here after the duration and the drift allowance.
+[[nodiscard]] std::optional<grant> lend(budget& state, std::uint64_t borrower, share wanted,
+                                        milliseconds duration, instant now);
 
 // Takes in a loan from `lender`, in place of a former one, that ends at `until`.
 void accept_loan(budget& state, std::uint64_t lender, const grant& granted, instant until, instant now);
--- a/packages/policy/config_check.cpp
+++ b/packages/policy/config_check.cpp
@@ -24,13 +24,16 @@
     std::set<std::string> targets;
 };
 
-std::string at(const char* list, int index) { return std::string(list) + "[" + std::to_string(index) + "]"; }
+std::string at(const char* list, int index) {
+    return std::string(list) + "[" + std::to_string(index) + "]";
+}
 
 void report(checker& check, const std::string& place, const std::string& text) {
     check.found.push_back({place, text});
 }
 
-void check_name(checker& check, std::set<std::string>& names, const std::string& place, const std::string& name) {
+void check_name(checker& check, std::set<std::string>& names, const std::string& place,
+                const std::string& name) {
     if (name.empty()) {
         report(check, place, "is empty");
     } else if (!names.insert(name).second) {
@@ -54,14 +57,16 @@
             report(check, place + ".availabilityZones", "is empty");
         }
         for (int z = 0; z < region.availability_zones_size(); ++z) {
-            check_name(check, check.zones, place + "." + at("availabilityZones", z), region.availability_zones(z));
+            check_name(check, check.zones, place + "." + at("availabilityZones", z),
+                       region.availability_zones(z));
         }
     }
 }
 
 void check_target(checker& check, const schema::Target& target, const std::string& place) {
     check_name(check, check.targets, place + ".name", target.name());
-    check_reference(check, check.zones, place + ".availabilityZone", target.availability_zone(), "availability zone");
+    check_reference(check, check.zones, place + ".availabilityZone", target.availability_zone(),
+                    "availability zone");
     if (!parse_address(target.address())) {
         report(check, place + ".address", "\"" + target.address() + "\" is not IP:port");
     }
@@ -128,7 +133,8 @@
         check_name(check, names, place + ".name", workspace.name());
         check_keys(check, digests, workspace, place);
         for (int s = 0; s < workspace.services_size(); ++s) {
-            check_reference(check, check.services, place + "." + at("services", s), workspace.services(s), "service");
+            check_reference(check, check.services, place + "." + at("services", s), workspace.services(s),
+                            "service");
         }
         if (!std::isfinite(workspace.rate_per_second()) || workspace.rate_per_second() < 0 ||
             workspace.rate_per_second() > max_rate_per_second) {
--- a/packages/policy/config_view.cpp
+++ b/packages/policy/config_view.cpp
@@ -41,7 +41,8 @@
     return false;
 }
 
-std::optional<wall_time> find_leaving_time(const schema::Configuration& configuration, const target_view& target) {
+std::optional<wall_time> find_leaving_time(const schema::Configuration& configuration,
+                                           const target_view& target) {
     std::optional<wall_time> first;
     for (const auto& drain : configuration.drains()) {
         if (is_subject(drain, target)) {
@@ -86,14 +87,16 @@
             : milliseconds{default_retention};
     workspace.weight = std::max<std::size_t>(1, source.weight());
     workspace.availability_ratio = source.objective().availability_ratio();
-    workspace.latency_objective = milliseconds{TimeUtil::DurationToMilliseconds(source.objective().latency())};
+    workspace.latency_objective =
+        milliseconds{TimeUtil::DurationToMilliseconds(source.objective().latency())};
     workspace.latency_ratio = source.objective().latency_ratio();
     return workspace;
 }
 
 } // namespace
 
-tl::expected<std::shared_ptr<const config_view>, findings> config_view::make(const schema::Configuration& configuration) {
+tl::expected<std::shared_ptr<const config_view>, findings>
+config_view::make(const schema::Configuration& configuration) {
     findings found = check_configuration(configuration);
     if (!found.empty()) {
         return tl::make_unexpected(std::move(found));
--- a/packages/policy/config_view.h
+++ b/packages/policy/config_view.h
@@ -57,7 +57,8 @@
 class config_view {
 public:
     // Builds the view, or returns what is wrong with the configuration.
-    static tl::expected<std::shared_ptr<const config_view>, findings> make(const schema::Configuration& configuration);
+    static tl::expected<std::shared_ptr<const config_view>, findings>
+    make(const schema::Configuration& configuration);
 
     // Returns the workspace whose key this is, or nothing.
     [[nodiscard]] const workspace_view* find_by_key(std::string_view key) const;
--- a/packages/policy/fair_queue.cpp
+++ b/packages/policy/fair_queue.cpp
@@ -43,8 +43,9 @@
 }
 
 void withdraw(fair_queue& queue, std::uint64_t ticket) {
-    const auto position = std::find_if(queue.waiting.begin(), queue.waiting.end(),
-                                       [ticket](const waiting_request& entry) { return entry.ticket == ticket; });
+    const auto position =
+        std::find_if(queue.waiting.begin(), queue.waiting.end(),
+                     [ticket](const waiting_request& entry) { return entry.ticket == ticket; });
     if (position != queue.waiting.end()) {
         forget(queue, position);
     }
--- a/packages/policy/fair_queue.h
+++ b/packages/policy/fair_queue.h
@@ -1,7 +1,7 @@
 // A bounded queue in front of a service's slots that serves workspaces by weight.
 //
-// Start-time fair queueing (Goyal, Vin, Cheng, 1996): a request's tag is the larger of the queue's virtual time and
-// the end of its workspace's former request; the smallest tag is served first.
+// Start-time fair queueing (Goyal, Vin, Cheng, 1996): a request's tag is the larger of the queue's virtual
+// time and the end of its workspace's former request; the smallest tag is served first.
 #pragma once
 
 #include <compare>
@@ -38,7 +38,8 @@
 };
 
 // Adds a request. Returns its ticket, or nothing when the workspace's part of the queue is full.
-[[nodiscard]] std::optional<std::uint64_t> enqueue(fair_queue& queue, const std::string& workspace, std::size_t weight);
+[[nodiscard]] std::optional<std::uint64_t> enqueue(fair_queue& queue, const std::string& workspace,
+                                                   std::size_t weight);
 
 // Takes out the request that is to be served next.
 [[nodiscard]] std::optional<std::uint64_t> dequeue(fair_queue& queue);
--- a/packages/policy/idempotency.cpp
+++ b/packages/policy/idempotency.cpp
@@ -4,7 +4,9 @@
 
 namespace {
 
-record_id id_of(const schema::IdempotencyRecord& record) { return {record.workspace(), record.key()}; }
+record_id id_of(const schema::IdempotencyRecord& record) {
+    return {record.workspace(), record.key()};
+}
 
 instant expiry_of(const schema::IdempotencyRecord& record, instant now) {
     return now + milliseconds{record.retention_ms()};
@@ -55,8 +57,9 @@
 void import_records(record_table& table, const schema::Handover& handover, instant now) {
     for (const auto& record : handover.records()) {
         const auto found = table.records.find(id_of(record));
-        const bool replaces = found == table.records.end() || (record.done() && !found->second.record.done() &&
-                                                               found->second.record.attempt() == record.attempt());
+        const bool replaces =
+            found == table.records.end() || (record.done() && !found->second.record.done() &&
+                                             found->second.record.attempt() == record.attempt());
         if (replaces) {
             table.records[id_of(record)] = {record, expiry_of(record, now)};
         }
--- a/packages/policy/idempotency.h
+++ b/packages/policy/idempotency.h
@@ -35,7 +35,8 @@
 };
 
 // Claims the record for its attempt. A claim repeated by the same attempt is granted again.
-[[nodiscard]] schema::ClaimReply claim(record_table& table, const schema::IdempotencyRecord& record, instant now);
+[[nodiscard]] schema::ClaimReply claim(record_table& table, const schema::IdempotencyRecord& record,
+                                       instant now);
 
 // Stores the outcome of an attempt. Returns false when another attempt owns the record.
 bool complete(record_table& table, const schema::IdempotencyRecord& record, instant now);
--- a/packages/policy/licence.cpp
+++ b/packages/policy/licence.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-bool is_majority(std::size_t votes, std::size_t all) { return 2 * votes > all; }
+bool is_majority(std::size_t votes, std::size_t all) {
+    return 2 * votes > all;
+}
 
 bool heard_within(const licence_state& state, std::uint64_t member, nanoseconds freshness, instant now) {
     if (member == state.self) {
@@ -23,8 +25,8 @@
     return is_majority(static_cast<std::size_t>(votes), list.size());
 }
 
-bool hears_all_majorities(const licence_state& state, const std::vector<electorate>& lists, nanoseconds freshness,
-                          instant now) {
+bool hears_all_majorities(const licence_state& state, const std::vector<electorate>& lists,
+                          nanoseconds freshness, instant now) {
     return !lists.empty() && std::all_of(lists.begin(), lists.end(), [&](const electorate& list) {
         return hears_majority(state, list, freshness, now);
     });
--- a/packages/policy/licence.h
+++ b/packages/policy/licence.h
@@ -50,14 +50,14 @@
 void adopt(licence_state& state, std::uint64_t generation);
 
 // Judges the VM at `now`, for proofs younger than `freshness`, and notes when it has become synced.
-[[nodiscard]] licence_verdict judge(licence_state& state, const std::vector<electorate>& lists, nanoseconds freshness,
-                                    instant now);
+[[nodiscard]] licence_verdict judge(licence_state& state, const std::vector<electorate>& lists,
+                                    nanoseconds freshness, instant now);
 
 // Returns whether the verdict allows keyed work.
 [[nodiscard]] bool allows_keyed_work(licence_verdict verdict);
 
-// Returns whether a strict majority of every list holds at least `generation`. Members in `ended` have left the
-// platform's list for long enough and do not count. An empty list of lists is accepted.
+// Returns whether a strict majority of every list holds at least `generation`. Members in `ended` have left
+// the platform's list for long enough and do not count. An empty list of lists is accepted.
 [[nodiscard]] bool is_accepted(const licence_state& state, const std::vector<electorate>& lists,
                                const electorate& ended, std::uint64_t generation);
 
--- a/packages/policy/members.cpp
+++ b/packages/policy/members.cpp
@@ -113,7 +113,8 @@
             const auto count = static_cast<std::int64_t>(holders.size());
             part = {contract.rate / count, contract.cap / count};
         }
-        smallest = smallest ? share{std::min(smallest->rate, part.rate), std::min(smallest->cap, part.cap)} : part;
+        smallest =
+            smallest ? share{std::min(smallest->rate, part.rate), std::min(smallest->cap, part.cap)} : part;
     }
     return smallest.value_or(share{});
 }
@@ -133,9 +134,10 @@
     if (candidates.size() < homes_per_record) {
         return candidates;
     }
-    const auto other_zone = std::find_if(candidates.begin() + 1, candidates.end(), [&](const schema::Member& member) {
-        return member.availability_zone() != candidates.front().availability_zone();
-    });
+    const auto other_zone =
+        std::find_if(candidates.begin() + 1, candidates.end(), [&](const schema::Member& member) {
+            return member.availability_zone() != candidates.front().availability_zone();
+        });
     return {candidates.front(), other_zone == candidates.end() ? candidates[1] : *other_zone};
 }
 
@@ -156,17 +158,19 @@
 
 bool is_record_lost(const schema::Head& head, const std::string& workspace, const std::string& key,
                     const std::string& home_region, std::int64_t wall_now_s) {
-    return std::any_of(head.lost_homes().begin(), head.lost_homes().end(), [&](const schema::LostHomes& lost) {
-        const electorate ended{lost.ended().begin(), lost.ended().end()};
-        const auto homes = record_homes(lost.list(), workspace, key, home_region);
-        return lost.until_s() > wall_now_s && std::all_of(homes.begin(), homes.end(), [&](const schema::Member& home) {
-                   return contains(ended, home.incarnation());
-               });
-    });
+    return std::any_of(head.lost_homes().begin(), head.lost_homes().end(),
+                       [&](const schema::LostHomes& lost) {
+                           const electorate ended{lost.ended().begin(), lost.ended().end()};
+                           const auto homes = record_homes(lost.list(), workspace, key, home_region);
+                           return lost.until_s() > wall_now_s &&
+                                  std::all_of(homes.begin(), homes.end(), [&](const schema::Member& home) {
+                                      return contains(ended, home.incarnation());
+                                  });
+                       });
 }
 
-std::optional<schema::MemberList> next_list(const schema::Head& head, const std::vector<schema::Member>& alive,
-                                            std::size_t limit) {
+std::optional<schema::MemberList> next_list(const schema::Head& head,
+                                            const std::vector<schema::Member>& alive, std::size_t limit) {
     const schema::MemberList present = head.lists_size() > 0 ? head.lists(0) : schema::MemberList{};
     std::vector<schema::Member> chosen = spread_over_zones(present, alive, limit);
     if (chosen.empty() || same_members(present, chosen)) {
--- a/packages/policy/quarantine.cpp
+++ b/packages/policy/quarantine.cpp
@@ -11,7 +11,9 @@
     entry.until = now + quarantine_time;
 }
 
-void clear_suspicion(quarantine& state, std::uint64_t fingerprint) { state.suspicions.erase(fingerprint); }
+void clear_suspicion(quarantine& state, std::uint64_t fingerprint) {
+    state.suspicions.erase(fingerprint);
+}
 
 bool is_suspected(const quarantine& state, std::uint64_t fingerprint, instant now) {
     const auto found = state.suspicions.find(fingerprint);
--- a/packages/policy/steer.cpp
+++ b/packages/policy/steer.cpp
@@ -24,7 +24,8 @@
 } // namespace
 
 std::vector<vm_state> order_vms(std::vector<vm_state> vms, const location& caller, random_engine& random) {
-    const bool some_stay = std::any_of(vms.begin(), vms.end(), [](const vm_state& vm) { return !vm.leaving; });
+    const bool some_stay =
+        std::any_of(vms.begin(), vms.end(), [](const vm_state& vm) { return !vm.leaving; });
     if (some_stay) {
         std::erase_if(vms, [](const vm_state& vm) { return vm.leaving; });
     }
--- a/packages/policy/steer.h
+++ b/packages/policy/steer.h
@@ -22,8 +22,9 @@
     auto operator<=>(const vm_state&) const = default;
 };
 
-// Returns the VMs to use, best first: serving before unproven ones, near before far, in random order among equals.
-// Leaving VMs are left out unless there is no other.
-[[nodiscard]] std::vector<vm_state> order_vms(std::vector<vm_state> vms, const location& caller, random_engine& random);
+// Returns the VMs to use, best first: serving before unproven ones, near before far, in random order among
+// equals. Leaving VMs are left out unless there is no other.
+[[nodiscard]] std::vector<vm_state> order_vms(std::vector<vm_state> vms, const location& caller,
+                                              random_engine& random);
 
 } // namespace cassiaspan
--- a/packages/policy/targets.cpp
+++ b/packages/policy/targets.cpp
@@ -9,7 +9,9 @@
 // A new target starts at this part of its slots and ramps up over the slow-start time.
 constexpr double slow_start_floor = 0.2;
 
-bool is_ejected(const target_state& state, instant now) { return state.ejected_until && *state.ejected_until > now; }
+bool is_ejected(const target_state& state, instant now) {
+    return state.ejected_until && *state.ejected_until > now;
+}
 
 double usable_slots(const service_view& service, const target_state& state, instant now) {
     const double ramp = std::chrono::duration<double>(now - state.joined) / slow_start_time;
@@ -88,8 +90,8 @@
     if (state.failures_in_row < failures_before_ejection || is_ejected(state, now)) {
         return false;
     }
-    const auto ejected = static_cast<std::size_t>(
-        std::count_if(states.begin(), states.end(), [now](const target_state& other) { return is_ejected(other, now); }));
+    const auto ejected = static_cast<std::size_t>(std::count_if(
+        states.begin(), states.end(), [now](const target_state& other) { return is_ejected(other, now); }));
     if (ejected >= std::max<std::size_t>(1, states.size() / ejection_share_divisor)) {
         return false;
     }
--- a/packages/policy/targets.h
+++ b/packages/policy/targets.h
@@ -64,8 +64,8 @@
     no_target reason = no_target::none_serving;
 };
 
-// Chooses a target with a free slot: in the own region while one has room, then in any other region that is known to
-// have room.
+// Chooses a target with a free slot: in the own region while one has room, then in any other region that is
+// known to have room.
 [[nodiscard]] target_choice choose_target(const choice_input& input, random_engine& random);
 
 // Returns the load of a target: own requests plus what others reported, discounted by its age.
@@ -74,8 +74,8 @@
 // Returns whether a planned drain has begun for the target.
 [[nodiscard]] bool is_leaving(const target_view& target, std::chrono::system_clock::time_point wall_now);
 
-// Notes how a request at states[index] ended. Ejects the target after repeated failures, within the ceiling; returns
-// whether it did.
+// Notes how a request at states[index] ended. Ejects the target after repeated failures, within the ceiling;
+// returns whether it did.
 bool note_outcome(std::vector<target_state>& states, std::size_t index, bool success, instant now);
 
 } // namespace cassiaspan
--- a/test/standin/fault_proxy.cpp
+++ b/test/standin/fault_proxy.cpp
@@ -52,7 +52,8 @@
         const int on = 1;
         setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         const sockaddr_in native = to_native(this->routes[i].listen);
-        if (bind(listener, reinterpret_cast<const sockaddr*>(&native), sizeof native) != 0 || listen(listener, 128) != 0) {
+        if (bind(listener, reinterpret_cast<const sockaddr*>(&native), sizeof native) != 0 ||
+            listen(listener, 128) != 0) {
             std::perror("fault proxy");
             std::abort();
         }
@@ -74,8 +75,8 @@
     }
 }
 
-void fault_proxy::set_fault(std::uint16_t listen_port, const std::string& listen_host, const std::string& source_host,
-                            const link_fault& fault) {
+void fault_proxy::set_fault(std::uint16_t listen_port, const std::string& listen_host,
+                            const std::string& source_host, const link_fault& fault) {
     const std::scoped_lock lock(this->mutex);
     this->faults[{listen_host, listen_port, source_host}] = fault;
 }
--- a/test/standin/http_answers.cpp
+++ b/test/standin/http_answers.cpp
@@ -6,7 +6,8 @@
 namespace cassiaspan::standin {
 
 int answer(mg_connection* connection, int status, const std::string& body, const std::string& headers) {
-    const std::string text = "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: " + std::to_string(body.size()) +
+    const std::string text = "HTTP/1.1 " + std::to_string(status) +
+                             " x\r\nContent-Length: " + std::to_string(body.size()) +
                              "\r\nConnection: keep-alive\r\n" + headers + "\r\n" + body;
     mg_write(connection, text.data(), text.size());
     return status;
--- a/test/standin/load_caller.cpp
+++ b/test/standin/load_caller.cpp
@@ -72,7 +72,13 @@
     const std::vector<socket_address> order = self.order;
     for (const socket_address& vm : order) {
         auto answer = exchange(pool_of(self, vm), self.guard,
-                               {self.plan.method, self.plan.path, "text/plain", "", call_timeout, {{"X-Api-Key", self.plan.key}}}, self.time);
+                               {self.plan.method,
+                                self.plan.path,
+                                "text/plain",
+                                "",
+                                call_timeout,
+                                {{"X-Api-Key", self.plan.key}}},
+                               self.time);
         outcome = outcome_of(answer);
         const bool next = outcome == "cannot connect" || outcome == "not-licensed (not-run)";
         if (!next) {
@@ -81,17 +87,20 @@
         self.order_expires = self.time.now();
     }
     ++self.result.outcomes[outcome];
-    self.result.latencies_ms.push_back(std::chrono::duration<double, std::milli>(self.time.now() - started).count());
+    self.result.latencies_ms.push_back(
+        std::chrono::duration<double, std::milli>(self.time.now() - started).count());
 }
 
 } // namespace
 
 std::vector<socket_address> look_up(const socket_address& vm, watchdog& guard, const clock& time) {
     connection_pool pool(vm);
-    const auto answer = exchange(pool, guard, {"GET", "/v1/steer", "text/plain", "", milliseconds{2000}, {}}, time);
+    const auto answer =
+        exchange(pool, guard, {"GET", "/v1/steer", "text/plain", "", milliseconds{2000}, {}}, time);
     schema::SteerAnswer steer;
     std::vector<socket_address> order;
-    if (answer && answer->status == 200 && google::protobuf::util::JsonStringToMessage(answer->body, &steer).ok()) {
+    if (answer && answer->status == 200 &&
+        google::protobuf::util::JsonStringToMessage(answer->body, &steer).ok()) {
         for (const auto& row : steer.vms()) {
             if (const auto address = parse_address(row.address())) {
                 order.push_back(*address);
@@ -106,11 +115,13 @@
     std::vector<std::unique_ptr<caller>> callers;
     std::vector<std::thread> threads;
     const instant started = time.now();
-    const nanoseconds step{static_cast<std::int64_t>(1e9 * static_cast<double>(plan.threads) / plan.requests_per_second)};
+    const nanoseconds step{
+        static_cast<std::int64_t>(1e9 * static_cast<double>(plan.threads) / plan.requests_per_second)};
     for (std::size_t i = 0; i < plan.threads; ++i) {
         callers.push_back(std::make_unique<caller>(caller{plan, time, guard, {}, {}, {}, {}}));
         threads.emplace_back([&, i, self = callers.back().get()] {
-            instant next = started + step * static_cast<std::int64_t>(i) / static_cast<std::int64_t>(plan.threads);
+            instant next =
+                started + step * static_cast<std::int64_t>(i) / static_cast<std::int64_t>(plan.threads);
             for (; next < started + plan.duration; next += step) {
                 if (next > time.now()) {
                     std::this_thread::sleep_for(next - time.now());
@@ -136,10 +147,12 @@
     std::ostringstream text;
     const auto quantile = [&](double part) {
         const auto index = static_cast<std::size_t>(part * static_cast<double>(result.latencies_ms.size()));
-        return result.latencies_ms.empty() ? 0 : result.latencies_ms[std::min(index, result.latencies_ms.size() - 1)];
+        return result.latencies_ms.empty()
+                   ? 0
+                   : result.latencies_ms[std::min(index, result.latencies_ms.size() - 1)];
     };
-    text << "requests " << result.latencies_ms.size() << std::fixed << std::setprecision(2) << "  p50 " << quantile(0.5)
-         << " ms  p99 " << quantile(0.99) << " ms  max " << quantile(1) << " ms";
+    text << "requests " << result.latencies_ms.size() << std::fixed << std::setprecision(2) << "  p50 "
+         << quantile(0.5) << " ms  p99 " << quantile(0.99) << " ms  max " << quantile(1) << " ms";
     for (const auto& [outcome, count] : result.outcomes) {
         text << "\n  " << outcome << ": " << count;
     }
--- a/test/standin/load_caller.h
+++ b/test/standin/load_caller.h
@@ -1,5 +1,5 @@
-// A caller as the page for callers asks for: looks up the VMs, keeps connections, goes on to the next VM when a
-// refusal says "not run".
+// A caller as the page for callers asks for: looks up the VMs, keeps connections, goes on to the next VM when
+// a refusal says "not run".
 #pragma once
 
 #include "http_client.h"
@@ -35,6 +35,7 @@
 [[nodiscard]] std::string render(load_result result);
 
 // Returns the VMs in the order that `vm` tells, as addresses.
-[[nodiscard]] std::vector<socket_address> look_up(const socket_address& vm, watchdog& guard, const clock& time);
+[[nodiscard]] std::vector<socket_address> look_up(const socket_address& vm, watchdog& guard,
+                                                  const clock& time);
 
 } // namespace cassiaspan::standin
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -31,7 +31,8 @@
     return text.str();
 }
 
-template <class Standin> int run_server(const std::string& address, Standin& standin, const boot_clock& time) {
+template <class Standin>
+int run_server(const std::string& address, Standin& standin, const boot_clock& time) {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
@@ -82,8 +83,13 @@
         return run_server(words[1], target, time);
     }
     if (words.size() == 8 && words[0] == "load") {
-        const load_plan plan{cassiaspan::parse_address(words[1]).value(), words[2], words[3], words[4], std::stod(words[5]),
-                             cassiaspan::seconds{std::stoi(words[6])}, std::stoul(words[7])};
+        const load_plan plan{cassiaspan::parse_address(words[1]).value(),
+                             words[2],
+                             words[3],
+                             words[4],
+                             std::stod(words[5]),
+                             cassiaspan::seconds{std::stoi(words[6])},
+                             std::stoul(words[7])};
         std::cout << render(run_load(plan, time)) << std::endl;
         return 0;
     }
--- a/test/standin/store_standin.cpp
+++ b/test/standin/store_standin.cpp
@@ -97,10 +97,12 @@
     return reply;
 }
 
-schema::StoreReply store_standin::handle_watch(std::unique_lock<std::mutex>& lock, const schema::StoreWatch& watch) {
+schema::StoreReply store_standin::handle_watch(std::unique_lock<std::mutex>& lock,
+                                               const schema::StoreWatch& watch) {
     this->changed.wait_for(lock, milliseconds{watch.wait_ms()}, [&] {
         const auto found = this->values.find(watch.key());
-        return this->faults.down || (found != this->values.end() && found->second.revision > watch.after_revision());
+        return this->faults.down ||
+               (found != this->values.end() && found->second.revision > watch.after_revision());
     });
     return this->read(watch.key());
 }
--- a/test/standin/target_standin.cpp
+++ b/test/standin/target_standin.cpp
@@ -94,8 +94,8 @@
     const std::scoped_lock lock(this->mutex);
     if (this->records) {
         this->records << this->time.now().time_since_epoch().count() << ' ' << this->options.name << ' '
-                      << header_value(connection, "X-Cassiaspan-Workspace") << ' ' << info.request_method << ' '
-                      << info.request_uri << " tag=" << header_value(connection, "X-Tag")
+                      << header_value(connection, "X-Cassiaspan-Workspace") << ' ' << info.request_method
+                      << ' ' << info.request_uri << " tag=" << header_value(connection, "X-Tag")
                       << " body=" << sha256_hex(body) << std::endl;
     }
 }
--- a/test/standin/vm_list_standin.cpp
+++ b/test/standin/vm_list_standin.cpp
@@ -18,7 +18,8 @@
     } else if (path == "/control/leaving") {
         this->set_leaving(query_value(info, "vm"));
     } else if (path == "/control/add") {
-        static_cast<void>(google::protobuf::util::JsonStringToMessage(read_body(connection), this->list.add_vms()));
+        static_cast<void>(
+            google::protobuf::util::JsonStringToMessage(read_body(connection), this->list.add_vms()));
     } else {
         return answer(connection, 404, "");
     }
