--- a/test/support/test_fleet.cpp
+++ b/test/support/test_fleet.cpp
@@ -213,17 +213,20 @@
         milliseconds{60'000});
 }
 
-int test_fleet::ctl(const std::vector<std::string>& words, milliseconds timeout) {
+int test_fleet::ctl_apart(const std::vector<std::string>& words, const std::string& tag, milliseconds timeout) {
     const std::string platform = this->host(platform_host, 0);
     std::vector<std::string> all{binary("cassiactl"), "--store-address=" + with_port(platform, platform_port),
                                  "--vm-list-address=" + with_port(platform, platform_port + 1)};
     all.insert(all.end(), words.begin(), words.end());
-    const std::string log = this->file("ctl.log");
-    std::filesystem::remove(log);
-    process command(all, log);
-    const auto code = command.wait(timeout);
-    this->last_ctl_output = read_file(log);
-    return code.value_or(-1);
+    process command(all, this->file(tag));
+    return command.wait(timeout).value_or(-1);
+}
+
+int test_fleet::ctl(const std::vector<std::string>& words, milliseconds timeout) {
+    std::filesystem::remove(this->file("ctl.log"));
+    const int code = this->ctl_apart(words, "ctl.log", timeout);
+    this->last_ctl_output = read_file(this->file("ctl.log"));
+    return code;
 }
 
 int test_fleet::apply(const schema::Configuration& configuration) {
