--- a/packages/policy/budget.cpp
+++ b/packages/policy/budget.cpp
@@ -19,8 +19,6 @@
 // fleet that is loaded to nine tenths could not meet all wishes.
 constexpr std::int64_t kept_margin_divisor = 20;
 constexpr std::int64_t wanted_margin_divisor = 8;
-// Arrivals above the expected ones in one window that may count as a jump.
-constexpr double min_jump_requests = 8;
 // Tokens that a VM without any asks for.
 constexpr std::int64_t urgent_requests = 4;
 // A refill over a longer time than this is full for every contract that the checks let pass.
@@ -92,8 +90,7 @@
     const auto measured = static_cast<std::int64_t>(wide(state.arrivals) * micro_requests * nanoseconds_per_second /
                                                     elapsed.count());
     const double expected = static_cast<double>(state.demand) / micro_requests * std::chrono::duration<double>(elapsed).count();
-    const double surplus = static_cast<double>(state.arrivals) - expected;
-    const bool jumped = surplus > std::max(min_jump_requests, 3 * std::sqrt(expected));
+    const bool jumped = static_cast<double>(state.arrivals) > expected + 3 * std::sqrt(expected + 1);
     const bool long_ago = elapsed > 4 * demand_window;
     state.demand = jumped || long_ago
                        ? measured
