--- a/test/support/test_fleet.cpp
+++ b/test/support/test_fleet.cpp
@@ -195,6 +195,11 @@
 }
 
 void test_fleet::start_all() {
+    this->start_all_with([](schema::Configuration& /*configuration*/) {});
+}
+
+void test_fleet::start_all_with(const std::function<void(schema::Configuration&)>& edit) {
+    edit(this->base_configuration);
     for (std::size_t i = 0; i < this->options.vms; ++i) {
         this->start_vm(i);
     }
--- a/test/support/test_fleet.h
+++ b/test/support/test_fleet.h
@@ -63,6 +63,8 @@
 
     // Starts all VMs and waits until every one of them is licensed and named as a member.
     void start_all();
+    // The same, with an edited configuration.
+    void start_all_with(const std::function<void(schema::Configuration&)>& edit);
     void start_vm(std::size_t vm);
     void start_target(std::size_t target);
     [[nodiscard]] process& vm(std::size_t index) { return this->vm_processes.at(index); }
