Settle the member list when a member restarts while it is being changed

The former incarnation now gives up its place at once, homes that run another incarnation are passed over, and homes silent for four freshness times too: a claim needs both homes, so the copy at the other one still refuses a second run. Ruled out: counting the member as ended sooner, which would weaken acceptance.

--- a/packages/entry/daemon.cpp
+++ b/packages/entry/daemon.cpp
@@ -225,7 +225,7 @@
                                  this->node, this->peers, this->time);
     this->budget_thread.emplace(milliseconds{set.loan_ms()}, this->budgets, this->node, this->peers,
                                 this->time);
-    this->records_thread.emplace(this->records, this->node, [this](std::uint64_t generation) {
+    this->records_thread.emplace(this->records, this->node, 4 * freshness, this->time, [this](std::uint64_t generation) {
         this->node.set_handed_over(generation);
         this->store_thread->set_handed_over(generation);
     });
--- a/packages/fleet/members_duty.cpp
+++ b/packages/fleet/members_duty.cpp
@@ -118,7 +118,11 @@
     std::vector<schema::Member> alive;
     electorate taken;
     const auto add = [&](const schema::Member& member) {
-        if (!contains(ended, member.incarnation()) && leaving.count(member.incarnation()) == 0 &&
+        // A VM that runs another incarnation by now has no use for the former one's place.
+        const std::uint64_t present = this->node.incarnation_at(member.peer_address());
+        const bool replaced = present != 0 && present != member.incarnation() &&
+                              member.incarnation() != this->node.self().incarnation();
+        if (!replaced && !contains(ended, member.incarnation()) && leaving.count(member.incarnation()) == 0 &&
             !contains(taken, member.incarnation())) {
             taken.push_back(member.incarnation());
             alive.push_back(member);
@@ -140,9 +144,7 @@
     }
     add(this->node.self());
     for (const peer_knowledge& peer : peers) {
-        const bool present =
-            this->node.incarnation_at(peer.member.peer_address()) == peer.member.incarnation();
-        if (peer.synced && present && now - peer.asked < this->options.freshness) {
+        if (peer.synced && now - peer.asked < this->options.freshness) {
             add(peer.member);
         }
     }
--- a/packages/fleet/record_home.cpp
+++ b/packages/fleet/record_home.cpp
@@ -139,13 +139,14 @@
     return reply;
 }
 
-bool record_home::hand_over(const generation_view& generation) {
+bool record_home::hand_over(const generation_view& generation, bool pass_over_silent) {
     if (generation.head.lists_size() == 0) {
         return true;
     }
     bool everywhere = true;
     for (const auto& member : generation.head.lists(0).members()) {
-        everywhere = (is_self(this->node, member) || this->hand_over_to(member, generation)) && everywhere;
+        const bool arrived = is_self(this->node, member) || this->is_ended(member) || this->hand_over_to(member, generation);
+        everywhere = everywhere && (arrived || pass_over_silent);
     }
     return everywhere;
 }
