Test bad input; close callers that never finish a request head

Found by tests shown failing first: - CivetWeb decodes addresses in place, so %2f reached a target as '/' (row 'encoded slash': 200 instead of 400); decoding is off now. - With all 16 workers held by callers that send one byte, another workspace got no answer in 5 s: a connection's far end is not known before its first request, so nothing could be closed. Sockets without unread bytes that belong to no known connection are now closed too, oldest first; the row passes. - TLS crashed at the first connection: CivetWeb 1.15 looks up a symbol that OpenSSL 3 renamed. Ruled out: library initialisation order and flags. The daemon refuses the setting at start; the row is known red.

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <civetweb.h>
+#include <openssl/opensslv.h>
 #include <sys/socket.h>
 #include <vector>
 
@@ -49,6 +50,8 @@
                                    "1",
                                    "max_request_size",
                                    std::to_string(options.max_header_bytes),
+                                   "decode_url",
+                                   "no",
                                    "enable_directory_listing",
                                    "no",
                                    "cgi_pattern",
@@ -80,6 +83,7 @@
 struct http_server::callbacks {
     static int begin(mg_connection* connection) {
         http_server* server = server_of(connection);
+        server->note_caller(connection);
         server->set_phase(connection, phase::reading_body);
         const int status = server->handler(*server, connection, *mg_get_request_info(connection));
         server->set_phase(connection, phase::waiting);
@@ -88,7 +92,7 @@
     static int init(const mg_connection* connection, void** /*data*/) {
         http_server* server = server_of(connection);
         const std::scoped_lock lock(server->mutex);
-        server->open[connection] = {caller_of(connection), phase::waiting, server->time.now(), 0, false};
+        server->open[connection] = {{}, phase::waiting, server->time.now(), 0, false};
         return 0;
     }
     static void close(const mg_connection* connection) {
@@ -104,7 +108,12 @@
 
 tl::expected<std::unique_ptr<http_server>, std::string>
 http_server::start(const http_server_options& options, http_handler handler, const clock& time) {
-    mg_init_library(options.tls_certificate_file.empty() ? 0U : static_cast<unsigned>(MG_FEATURES_TLS));
+    // The library is initialised once: without TLS at first, it would never have it.
+    mg_init_library(MG_FEATURES_TLS);
+    if (!options.tls_certificate_file.empty() && OPENSSL_VERSION_MAJOR >= 3) {
+        // It looks up SSL_get_peer_certificate, which OpenSSL 3 does not export, and would crash at the first caller.
+        return tl::make_unexpected("CivetWeb 1.15 cannot serve TLS with OpenSSL 3");
+    }
     std::unique_ptr<http_server> server(new http_server(std::move(handler), time, options.workers));
     const std::vector<std::string> texts = render_options(options);
     std::vector<const char*> pointers;
@@ -147,6 +156,14 @@
                : std::uint16_t{0};
 }
 
+void http_server::note_caller(const mg_connection* connection) {
+    const std::scoped_lock lock(this->mutex);
+    const auto found = this->open.find(connection);
+    if (found != this->open.end() && found->second.caller.port == 0) {
+        found->second.caller = caller_of(connection);
+    }
+}
+
 void http_server::set_phase(const mg_connection* connection, phase stage) {
     const std::scoped_lock lock(this->mutex);
     const auto found = this->open.find(connection);
@@ -197,23 +214,28 @@
     }
 }
 
-// Runs under the lock. A connection leaves `open` under it before its socket is closed, so the socket found
-// is its own.
+// Runs under the lock. A connection leaves `open` under it before its socket is closed, so a socket found is its own.
 void http_server::close_idle_connections() {
     const std::size_t keep = this->workers - reserve_of(this->workers);
-    std::vector<connection_state*> candidates;
+    const auto closing = static_cast<std::size_t>(std::count_if(
+        this->open.begin(), this->open.end(), [](const auto& entry) { return entry.second.closed; }));
+    if (this->open.size() <= keep + closing) {
+        this->silent_since.clear();
+        return;
+    }
     const instant now = this->time.now();
-    std::size_t closing = 0;
+    const std::size_t surplus = this->open.size() - keep - closing;
+    this->close_silent(surplus - this->close_waiting(surplus, now), now);
+}
+
+// Closes connections between requests and those with slow bodies; returns how many.
+std::size_t http_server::close_waiting(std::size_t surplus, instant now) {
+    std::vector<connection_state*> candidates;
     for (auto& [connection, state] : this->open) {
-        closing += state.closed ? 1 : 0;
-        if (this->may_close(state, now)) {
+        if (state.caller.port != 0 && this->may_close(state, now)) {
             candidates.push_back(&state);
         }
     }
-    if (this->open.size() <= keep + closing) {
-        return;
-    }
-    const std::size_t surplus = this->open.size() - keep - closing;
     std::sort(candidates.begin(), candidates.end(),
               [](const connection_state* a, const connection_state* b) { return a->since < b->since; });
     candidates.resize(std::min(candidates.size(), surplus));
@@ -223,6 +245,33 @@
             shutdown(*socket, SHUT_RD);
         }
     }
+    return candidates.size();
+}
+
+// Closes connections that have not sent a whole request head. One that waits for a worker with bytes unread is none of
+// them.
+void http_server::close_silent(std::size_t surplus, instant now) {
+    std::map<socket_address, instant> still_silent;
+    std::vector<std::pair<instant, int>> candidates;
+    for (const open_socket& socket : list_accepted(this->port())) {
+        const bool known = std::any_of(this->open.begin(), this->open.end(),
+                                       [&](const auto& entry) { return entry.second.caller == socket.peer; });
+        if (known || socket.unread_bytes > 0) {
+            continue;
+        }
+        const auto former = this->silent_since.find(socket.peer);
+        const instant since = former == this->silent_since.end() ? now : former->second;
+        still_silent[socket.peer] = since;
+        if (now - since >= min_wait_before_close) {
+            candidates.emplace_back(since, socket.descriptor);
+        }
+    }
+    this->silent_since = std::move(still_silent);
+    std::sort(candidates.begin(), candidates.end());
+    candidates.resize(std::min(candidates.size(), surplus));
+    for (const auto& [since, descriptor] : candidates) {
+        shutdown(descriptor, SHUT_RD);
+    }
 }
 
 } // namespace cassiaspan
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -62,6 +62,7 @@
 private:
     enum class phase { waiting, reading_body, answering };
     struct connection_state {
+        // Known from the first request on.
         socket_address caller;
         phase stage = phase::waiting;
         instant since;
@@ -71,9 +72,12 @@
     struct callbacks;
 
     http_server(http_handler handler_in, const clock& clock_in, std::size_t worker_count);
+    void note_caller(const mg_connection* connection);
     void set_phase(const mg_connection* connection, phase stage);
     void watch_crowding();
     void close_idle_connections();
+    [[nodiscard]] std::size_t close_waiting(std::size_t surplus, instant now);
+    void close_silent(std::size_t surplus, instant now);
     [[nodiscard]] bool may_close(const connection_state& state, instant now) const;
 
     http_handler handler;
@@ -83,6 +87,8 @@
     mutable std::mutex mutex;
     std::condition_variable wake;
     std::map<const mg_connection*, connection_state> open;
+    // Connections that have not begun a request, by their far ends, and since when they are known.
+    std::map<socket_address, instant> silent_since;
     bool stopping = false;
     std::thread crowding_thread;
 };
--- a/test/support/test_fleet.cpp
+++ b/test/support/test_fleet.cpp
@@ -194,6 +194,17 @@
     this->vm_processes.at(vm) = process(words, this->file("vm-" + std::to_string(vm) + ".log"));
 }
 
+void test_fleet::start_alone(const std::string& configuration_file, const std::vector<std::string>& flags) {
+    std::vector<std::string> words{binary("cassiaspan"),
+                                   "--region=" + this->region_of(0),
+                                   "--availability-zone=" + this->zone_of(0),
+                                   "--caller-address=" + this->caller_address(0),
+                                   "--admin-address=" + with_port(this->host(vm_network, 0), admin_port),
+                                   "--standalone=" + configuration_file};
+    words.insert(words.end(), flags.begin(), flags.end());
+    this->vm_processes.at(0) = process(words, this->file("vm-0.log"));
+}
+
 void test_fleet::start_all() {
     this->start_all_with([](schema::Configuration& /*configuration*/) {});
 }
--- a/test/support/test_fleet.h
+++ b/test/support/test_fleet.h
@@ -66,6 +66,8 @@
     // The same, with an edited configuration.
     void start_all_with(const std::function<void(schema::Configuration&)>& edit);
     void start_vm(std::size_t vm);
+    // Starts the first VM alone, with a configuration from a file.
+    void start_alone(const std::string& configuration_file, const std::vector<std::string>& flags);
     void start_target(std::size_t target);
     [[nodiscard]] process& vm(std::size_t index) { return this->vm_processes.at(index); }
     [[nodiscard]] process& target(std::size_t index) { return this->target_processes.at(index); }
