--- a/packages/entry/admin_page.cpp
+++ b/packages/entry/admin_page.cpp
@@ -42,12 +42,6 @@
     }
 }
 
-bool concerns(const schema::Drain& drain, const target_view& target) {
-    return (drain.has_target() && drain.target() == target.name) ||
-           (drain.has_availability_zone() && drain.availability_zone() == target.availability_zone) ||
-           (drain.has_region() && drain.region() == target.region);
-}
-
 void fill_targets(schema::Status& status, const admin_parts& parts) {
     std::map<std::string, target_row> rows;
     for (target_row& row : parts.targets.rows()) {
@@ -70,7 +64,7 @@
         entry->set_started(drain.start().seconds() <= unix_now);
         for (const auto& service : generation->configuration->services()) {
             for (const auto& target : service.targets) {
-                if (concerns(drain, target)) {
+                if (is_subject(drain, target)) {
                     entry->set_in_flight(entry->in_flight() +
                                          static_cast<std::uint32_t>(rows[target.name].in_flight));
                 }
--- a/packages/entry/daemon.cpp
+++ b/packages/entry/daemon.cpp
@@ -7,6 +7,7 @@
 #include "digest.h"
 #include "event_log.h"
 #include "overlay_duty.h"
+#include "peer_answers.h"
 #include "peer_channel.h"
 #include "records_duty.h"
 #include "store_duty.h"
@@ -98,11 +99,11 @@
 private:
     tl::expected<void, std::string> listen();
     tl::expected<void, std::string> listen_to_peers();
+    void make_duties();
     void start_duties();
     void follow_generations();
     void watch_licence();
     void share_loads();
-    [[nodiscard]] schema::PeerReply answer_peer(const schema::PeerRequest& request);
     [[nodiscard]] bool is_named() const;
     [[nodiscard]] bool may_stop(instant leaving_since);
     void fill_counts(schema::Status& status);
@@ -128,8 +129,15 @@
                            draw_random()};
     admin_parts admin_view{node,    budgets, targets,
                            metrics, time,    [this](schema::Status& status) { this->fill_counts(status); }};
-    peer_gate gate{secret, node.self().incarnation(),
-                   [this](const schema::PeerRequest& request) { return this->answer_peer(request); }};
+    peer_parts peer_view{node,
+                         budgets,
+                         records,
+                         quarantines,
+                         milliseconds{settings.loan_ms()},
+                         [this](const std::string& peer) { this->overlay_thread->note_newer(peer); }};
+    peer_gate gate{secret, node.self().incarnation(), [this](const schema::PeerRequest& request) {
+                       return answer_peer(this->peer_view, request);
+                   }};
     std::optional<store_client> store;
     std::optional<members_duty> members;
     std::optional<store_duty> store_thread;
@@ -181,6 +189,8 @@
 
 tl::expected<void, std::string> daemon::start_in_fleet() {
     this->follow_generations();
+    // Peers may send messages as soon as they can connect, so the duties are there by then.
+    this->make_duties();
     return this->listen_to_peers().and_then([this] {
         this->start_duties();
         return this->listen();
@@ -204,7 +214,7 @@
     return {};
 }
 
-void daemon::start_duties() {
+void daemon::make_duties() {
     const schema::Settings& set = this->settings;
     const nanoseconds freshness = milliseconds{set.freshness_ms()};
     this->store.emplace(store_options{parse_address(set.store_address()).value(),
@@ -234,6 +244,9 @@
         this->share_loads();
         this->watch_licence();
     });
+}
+
+void daemon::start_duties() {
     this->store_thread->start();
     this->overlay_thread->start();
     this->budget_thread->start();
@@ -275,59 +288,6 @@
     return {};
 }
 
-schema::PeerReply daemon::answer_peer(const schema::PeerRequest& request) {
-    schema::PeerReply reply;
-    switch (request.body_case()) {
-    case schema::PeerRequest::kPull:
-        *reply.mutable_pull() = this->node.answer_pull(request.pull());
-        break;
-    case schema::PeerRequest::kFetch: {
-        const auto value = this->node.find_content(request.fetch().name());
-        reply.mutable_fetch()->set_found(value.has_value());
-        reply.mutable_fetch()->set_value(value.value_or(""));
-        break;
-    }
-    case schema::PeerRequest::kNotify: {
-        const auto present = this->node.current();
-        if (!present || present->head.generation() < request.notify().generation()) {
-            this->overlay_thread->note_newer(request.from().peer_address());
-        }
-        reply.mutable_notify();
-        break;
-    }
-    case schema::PeerRequest::kBorrow: {
-        const auto& borrow = request.borrow();
-        const milliseconds duration{this->settings.loan_ms()};
-        const auto granted = this->budgets.lend_to(borrow.workspace(), request.from().incarnation(),
-                                                   {borrow.rate(), borrow.cap()}, duration);
-        reply.mutable_borrow();
-        if (granted) {
-            reply.mutable_borrow()->set_rate(granted->amount.rate);
-            reply.mutable_borrow()->set_cap(granted->amount.cap);
-            reply.mutable_borrow()->set_tokens(granted->tokens);
-            reply.mutable_borrow()->set_duration_ms(static_cast<std::uint32_t>(duration.count()));
-        }
-        break;
-    }
-    case schema::PeerRequest::kClaim:
-        *reply.mutable_claim() = this->records.answer(request.claim());
-        break;
-    case schema::PeerRequest::kComplete:
-        *reply.mutable_complete() = this->records.answer(request.complete());
-        break;
-    case schema::PeerRequest::kHandover:
-        *reply.mutable_handover() = this->records.answer(request.handover());
-        break;
-    case schema::PeerRequest::kSuspect:
-        this->quarantines.note(request.suspect());
-        reply.mutable_suspect();
-        break;
-    case schema::PeerRequest::BODY_NOT_SET:
-        break;
-    }
-    return reply;
-}
-
 void daemon::share_loads() {
     this->node.set_target_loads(this->targets.loads());
     this->targets.note_peers(this->node.peers());
--- a/packages/policy/config_view.cpp
+++ b/packages/policy/config_view.cpp
@@ -27,20 +27,6 @@
     return regions;
 }
 
-bool is_subject(const schema::Drain& drain, const target_view& target) {
-    switch (drain.subject_case()) {
-    case schema::Drain::kTarget:
-        return drain.target() == target.name;
-    case schema::Drain::kAvailabilityZone:
-        return drain.availability_zone() == target.availability_zone;
-    case schema::Drain::kRegion:
-        return drain.region() == target.region;
-    case schema::Drain::SUBJECT_NOT_SET:
-        break;
-    }
-    return false;
-}
-
 std::optional<wall_time> find_leaving_time(const schema::Configuration& configuration,
                                            const target_view& target) {
     std::optional<wall_time> first;
@@ -143,6 +129,20 @@
     return found == this->service_list.end() ? nullptr : &*found;
 }
 
+bool is_subject(const schema::Drain& drain, const target_view& target) {
+    switch (drain.subject_case()) {
+    case schema::Drain::kTarget:
+        return drain.target() == target.name;
+    case schema::Drain::kAvailabilityZone:
+        return drain.availability_zone() == target.availability_zone;
+    case schema::Drain::kRegion:
+        return drain.region() == target.region;
+    case schema::Drain::SUBJECT_NOT_SET:
+        break;
+    }
+    return false;
+}
+
 bool is_non_idempotent(const service_view& service, const std::string& method) {
     return service.non_idempotent_methods.count(method) != 0;
 }
--- a/packages/policy/config_view.h
+++ b/packages/policy/config_view.h
@@ -79,6 +79,9 @@
     std::unordered_map<std::string, std::size_t> service_by_prefix;
 };
 
+// Returns whether the drain concerns the target: by name, by availability zone or by region.
+[[nodiscard]] bool is_subject(const schema::Drain& drain, const target_view& target);
+
 // Returns whether the request may run at most once.
 [[nodiscard]] bool is_non_idempotent(const service_view& service, const std::string& method);
 
