Tell the sockets of all pools apart

Cause: each pool looked for its new socket among those it did not know itself, so two pools that lead to one server could take each other's: a watchdog then cut, and a check for waiting bytes looked at, the wrong connection. In the demo 16 of 1,000 requests had no answer, one for each of the caller's 16 pools; two services that share a target would do the same to a VM. One book of known sockets now serves the whole process, and a server's connections are opened one at a time.

--- a/packages/entry/forwarder.cpp
+++ b/packages/entry/forwarder.cpp
@@ -259,7 +259,7 @@
     if (may_keep(state, guarded.finish(), sent_whole)) {
         slot.pool->keep(std::move(target), time.now());
     } else {
-        slot.pool->discard(std::move(target));
+        target.close();
     }
     return std::move(state.result);
 }
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -11,6 +11,28 @@
 
 namespace {
 
+// Sockets of all pools. Two pools may lead to one server, so a new socket must be unknown to every one of
+// them, and only one connection to a server is opened at a time.
+struct socket_book {
+    std::mutex mutex;
+    std::set<int> known;
+    std::map<socket_address, std::shared_ptr<std::mutex>> opening;
+};
+
+socket_book& book() {
+    static socket_book instance;
+    return instance;
+}
+
+std::shared_ptr<std::mutex> opening_lock(const socket_address& server) {
+    const std::scoped_lock lock(book().mutex);
+    auto& entry = book().opening[server];
+    if (!entry) {
+        entry = std::make_shared<std::mutex>();
+    }
+    return entry;
+}
+
 // CivetWeb's client reads at most this much of status line and headers, in bytes.
 constexpr std::size_t error_text_bytes = 256;
 
@@ -71,21 +93,37 @@
     mg_close_connection(handle);
 }
 
-tl::expected<http_connection, http_failure> http_connection::open(const socket_address& server,
-                                                                  std::set<int>& known) {
+http_connection::~http_connection() {
+    if (!this->descriptor || !this->handle) {
+        return;
+    }
+    // Closed under the lock, so that the number is not taken by a new socket and then forgotten.
+    const std::scoped_lock lock(book().mutex);
+    book().known.erase(*this->descriptor);
+    this->handle.reset();
+}
+
+tl::expected<http_connection, http_failure> http_connection::open(const socket_address& server) {
+    const auto one_at_a_time = opening_lock(server);
+    const std::scoped_lock opening(*one_at_a_time);
     std::array<char, error_text_bytes> text{};
     mg_connection* opened = mg_connect_client(server.host.c_str(), server.port, 0, text.data(), text.size());
     if (opened == nullptr) {
         return tl::make_unexpected(http_failure::connecting);
     }
     http_connection connection(opened);
-    connection.descriptor = find_socket(server, known);
+    const std::scoped_lock lock(book().mutex);
+    connection.descriptor = find_socket(server, book().known);
     if (connection.descriptor) {
-        known.insert(*connection.descriptor);
+        book().known.insert(*connection.descriptor);
     }
     return connection;
 }
 
+void http_connection::close() {
+    const http_connection closed = std::move(*this);
+}
+
 bool http_connection::write(std::string_view bytes) {
     if (bytes.empty()) {
         return true;
@@ -111,12 +149,10 @@
 }
 
 tl::expected<pooled_connection, http_failure> connection_pool::take(nanoseconds max_idle, instant now) {
-    const std::scoped_lock lock(this->mutex);
     if (auto kept = this->take_idle(max_idle, now)) {
         return pooled_connection{std::move(*kept), true};
     }
-    // Opened under the lock, so that the new socket is the only one that is not known yet.
-    auto opened = http_connection::open(this->server, this->known_sockets);
+    auto opened = http_connection::open(this->server);
     if (!opened) {
         return tl::make_unexpected(opened.error());
     }
@@ -124,6 +160,7 @@
 }
 
 std::optional<http_connection> connection_pool::take_idle(nanoseconds max_idle, instant now) {
+    const std::scoped_lock lock(this->mutex);
     while (!this->idle.empty()) {
         idle_connection candidate = std::move(this->idle.back());
         this->idle.pop_back();
@@ -132,9 +169,6 @@
         if (now - candidate.since < max_idle && socket && !is_readable(*socket)) {
             return std::move(candidate.connection);
         }
-        if (socket) {
-            this->known_sockets.erase(*socket);
-        }
     }
     return std::nullopt;
 }
@@ -143,21 +177,7 @@
     const std::scoped_lock lock(this->mutex);
     if (this->idle.size() < max_idle_connections) {
         this->idle.push_back({std::move(connection), now});
-        return;
-    }
-    if (connection.socket()) {
-        this->known_sockets.erase(*connection.socket());
-    }
-    const http_connection closed = std::move(connection);
-}
-
-void connection_pool::discard(http_connection connection) {
-    const std::scoped_lock lock(this->mutex);
-    if (connection.socket()) {
-        this->known_sockets.erase(*connection.socket());
     }
-    // Closed under the lock, so that its number is not taken by a new socket that is then forgotten.
-    const http_connection closed = std::move(connection);
 }
 
 tl::expected<http_answer, http_failure> exchange(connection_pool& pool, watchdog& guard,
@@ -175,7 +195,7 @@
     auto head = sent ? connection.read_head(call.timeout) : tl::make_unexpected(http_failure::sending);
     auto body = head ? read_short_body(connection) : tl::make_unexpected(head.error());
     if (!guarded.finish() || !body || head->closes) {
-        pool.discard(std::move(connection));
+        connection.close();
     } else {
         pool.keep(std::move(connection), time.now());
     }
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -45,15 +45,16 @@
 class http_connection {
 public:
     // Connects to the server.
-    static tl::expected<http_connection, http_failure> open(const socket_address& server,
-                                                            std::set<int>& known);
+    static tl::expected<http_connection, http_failure> open(const socket_address& server);
 
     http_connection(http_connection&&) noexcept = default;
-    http_connection& operator=(http_connection&&) noexcept = default;
+    http_connection& operator=(http_connection&&) = delete;
     http_connection(const http_connection&) = delete;
     http_connection& operator=(const http_connection&) = delete;
-    ~http_connection() = default;
+    ~http_connection();
 
+    // Closes the connection now.
+    void close();
     // Writes all of `bytes`; false when the connection broke.
     [[nodiscard]] bool write(std::string_view bytes);
     // Waits for the status line and headers.
@@ -90,8 +91,6 @@
     [[nodiscard]] tl::expected<pooled_connection, http_failure> take(nanoseconds max_idle, instant now);
     // Keeps a connection whose last exchange ended cleanly.
     void keep(http_connection connection, instant now);
-    // Closes a connection that must not be used again.
-    void discard(http_connection connection);
 
 private:
     struct idle_connection {
@@ -106,7 +105,6 @@
     socket_address server;
     std::mutex mutex;
     std::vector<idle_connection> idle;
-    std::set<int> known_sockets;
 };
 
 // An answer with a short body.
