--- a/test/support/test_main.cpp
+++ b/test/support/test_main.cpp
@@ -17,6 +17,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -80,9 +81,9 @@
             word = argv[i];
         }
     }
-    CppUnit::Test* all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
+    const std::unique_ptr<CppUnit::Test> all(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
     std::vector<CppUnit::Test*> leaves;
-    collect(all, leaves);
+    collect(all.get(), leaves);
     CppUnit::TestResult result;
     printing_listener listener;
     result.addListener(&listener);
