Make one piece of what stood twice: head changes, hex digits, replaced VMs

Found on reading the whole change: the operators' command and the members' duty each moved the head to its next generation and trimmed the history, with the keys of the store written in both; digests and message codes each rendered hex; that a VM runs another incarnation was asked in three ways. Each is one function now.

--- a/packages/ctl/change.cpp
+++ b/packages/ctl/change.cpp
@@ -2,6 +2,7 @@
 
 #include "config_check.h"
 #include "digest.h"
+#include "head_change.h"
 
 #include <algorithm>
 #include <thread>
@@ -10,9 +11,6 @@
 
 namespace {
 
-constexpr const char* head_key = "head";
-constexpr const char* configuration_key_prefix = "configuration/";
-constexpr int max_history = 64;
 constexpr int max_tries = 8;
 constexpr milliseconds retry_pause{150};
 
@@ -41,7 +39,7 @@
     if (head.history_size() > 0) {
         // The members' own changes do not concern operators.
         const auto last = std::find_if(head.history().rbegin(), head.history().rend(), [](const auto& entry) {
-            return entry.operator_name() != "cassiaspan";
+            return entry.operator_name() != system_operator;
         });
         if (last != head.history().rend()) {
             text += ", by change " + last->change_id() + " of " + last->operator_name() + " (" +
@@ -52,18 +50,8 @@
 }
 
 schema::Head make_head(const schema::Head& former, const change_request& request, const std::string& name) {
-    schema::Head next = former;
-    next.set_generation(former.generation() + 1);
-    next.set_change_id(request.change_id);
+    schema::Head next = next_generation(former, {request.change_id, request.operator_name, request.summary});
     next.set_configuration_name(name);
-    auto* entry = next.add_history();
-    entry->set_generation(next.generation());
-    entry->set_change_id(request.change_id);
-    entry->set_operator_name(request.operator_name);
-    entry->set_summary(request.summary);
-    if (next.history_size() > max_history) {
-        next.mutable_history()->DeleteSubrange(0, next.history_size() - max_history);
-    }
     return next;
 }
 
--- a/packages/entry/caller_service.h
+++ b/packages/entry/caller_service.h
@@ -23,7 +23,7 @@
 
 namespace cassiaspan {
 
-// Everything the service works with. `records` is null when the VM stands alone.
+// Everything the service works with.
 struct caller_service_parts {
     const schema::Settings& settings;
     node_state& node;
--- a/packages/fleet/members_duty.cpp
+++ b/packages/fleet/members_duty.cpp
@@ -1,5 +1,6 @@
 #include "members_duty.h"
 
+#include "head_change.h"
 #include "members.h"
 
 #include <algorithm>
@@ -20,19 +21,8 @@
 }
 
 schema::Head begin_change(const schema::Head& head, const std::string& summary) {
-    schema::Head next = head;
-    next.set_generation(head.generation() + 1);
-    next.set_change_id("members-" + std::to_string(next.generation()));
-    auto* entry = next.add_history();
-    entry->set_generation(next.generation());
-    entry->set_change_id(next.change_id());
-    entry->set_operator_name("cassiaspan");
-    entry->set_summary(summary);
-    constexpr int max_history = 64;
-    if (next.history_size() > max_history) {
-        next.mutable_history()->DeleteSubrange(0, next.history_size() - max_history);
-    }
-    return next;
+    return next_generation(head,
+                           {"members-" + std::to_string(head.generation() + 1), system_operator, summary});
 }
 
 std::string describe(const schema::MemberList& list) {
@@ -79,11 +69,7 @@
         return peer.member.incarnation() == member.incarnation();
     });
     const bool fresh = heard != peers.end() && now - heard->asked < this->options.freshness;
-    const bool replaced = std::any_of(peers.begin(), peers.end(), [&](const peer_knowledge& peer) {
-        return peer.member.peer_address() == member.peer_address() &&
-               peer.member.incarnation() != member.incarnation() &&
-               (heard == peers.end() || peer.asked > heard->asked);
-    });
+    const bool replaced = this->node.is_replaced(member);
     const bool listed = std::any_of(vms.list.vms().begin(), vms.list.vms().end(),
                                     [&](const schema::Vm& vm) { return vm.name() == member.vm(); });
     if (fresh || (listed && !replaced) || member.incarnation() == this->node.self().incarnation()) {
@@ -119,11 +105,8 @@
     electorate taken;
     const auto add = [&](const schema::Member& member) {
         // A VM that runs another incarnation by now has no use for the former one's place.
-        const std::uint64_t present = this->node.incarnation_at(member.peer_address());
-        const bool replaced = present != 0 && present != member.incarnation() &&
-                              member.incarnation() != this->node.self().incarnation();
-        if (!replaced && !contains(ended, member.incarnation()) && leaving.count(member.incarnation()) == 0 &&
-            !contains(taken, member.incarnation())) {
+        if (!this->node.is_replaced(member) && !contains(ended, member.incarnation()) &&
+            leaving.count(member.incarnation()) == 0 && !contains(taken, member.incarnation())) {
             taken.push_back(member.incarnation());
             alive.push_back(member);
         }
--- a/packages/fleet/node_state.cpp
+++ b/packages/fleet/node_state.cpp
@@ -162,6 +162,12 @@
     return newest == nullptr ? 0 : newest->member.incarnation();
 }
 
+bool node_state::is_replaced(const schema::Member& member) const {
+    const std::uint64_t present = this->incarnation_at(member.peer_address());
+    return present != 0 && present != member.incarnation() &&
+           member.incarnation() != this->self_member.incarnation();
+}
+
 void node_state::note_vm_list(const schema::VmList& list, instant read) {
     std::string body = list.SerializeAsString();
     std::string name = sha256_hex(body);
--- a/packages/fleet/node_state.h
+++ b/packages/fleet/node_state.h
@@ -81,6 +81,9 @@
     // Returns the incarnation last heard at a peer address; 0 when none was.
     [[nodiscard]] std::uint64_t incarnation_at(const std::string& peer_address) const;
 
+    // Returns whether the member's VM was last heard to run another incarnation.
+    [[nodiscard]] bool is_replaced(const schema::Member& member) const;
+
     // Takes in a list of VMs, unless a newer one is there.
     void note_vm_list(const schema::VmList& list, instant read);
     [[nodiscard]] vm_list_view vm_list() const;
--- a/packages/fleet/peer_auth.cpp
+++ b/packages/fleet/peer_auth.cpp
@@ -1,5 +1,7 @@
 #include "peer_auth.h"
 
+#include "digest.h"
+
 #include <array>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
@@ -19,13 +21,7 @@
     unsigned int size = 0;
     HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
          reinterpret_cast<const unsigned char*>(text.data()), text.size(), code.data(), &size);
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string hex;
-    for (unsigned int i = 0; i < size; ++i) {
-        hex += digits[code[i] >> 4U];
-        hex += digits[code[i] & 15U];
-    }
-    return hex;
+    return to_hex(code.data(), size);
 }
 
 bool codes_match(std::string_view left, std::string_view right) {
--- a/packages/fleet/record_home.cpp
+++ b/packages/fleet/record_home.cpp
@@ -25,12 +25,6 @@
 record_home::record_home(node_state& node_in, peer_caller& peers_in, const clock& clock_in)
     : node(node_in), peers(peers_in), time(clock_in) {}
 
-// A home whose VM runs another incarnation by now has lost its records; the other home still has them.
-bool record_home::is_ended(const schema::Member& home) const {
-    const std::uint64_t present = this->node.incarnation_at(home.peer_address());
-    return present != 0 && present != home.incarnation();
-}
-
 std::optional<schema::ClaimReply> record_home::claim_at(const schema::Member& home,
                                                         const schema::Claim& message) {
     if (is_self(this->node, home)) {
@@ -72,7 +66,8 @@
     std::size_t granted = 0;
     // Always in the same order: the first home decides between attempts that race.
     for (const auto& home : record_homes(generation->head, record.workspace(), record.key(), home_region)) {
-        if (this->is_ended(home)) {
+        // A home whose VM runs another incarnation by now has lost its records; the other one has them.
+        if (this->node.is_replaced(home)) {
             continue;
         }
         const auto reply = this->claim_at(home, message);
@@ -145,8 +140,8 @@
     }
     bool everywhere = true;
     for (const auto& member : generation.head.lists(0).members()) {
-        const bool arrived =
-            is_self(this->node, member) || this->is_ended(member) || this->hand_over_to(member, generation);
+        const bool arrived = is_self(this->node, member) || this->node.is_replaced(member) ||
+                             this->hand_over_to(member, generation);
         everywhere = everywhere && (arrived || pass_over_silent);
     }
     return everywhere;
--- a/packages/fleet/record_home.h
+++ b/packages/fleet/record_home.h
@@ -63,7 +63,6 @@
                                                              const schema::Claim& message);
     [[nodiscard]] bool finish_at(const schema::Member& home, const schema::Complete& message);
     [[nodiscard]] bool hand_over_to(const schema::Member& home, const generation_view& generation);
-    [[nodiscard]] bool is_ended(const schema::Member& home) const;
 
     node_state& node;
     peer_caller& peers;
--- a/packages/fleet/store_duty.cpp
+++ b/packages/fleet/store_duty.cpp
@@ -1,5 +1,7 @@
 #include "store_duty.h"
 
+#include "head_change.h"
+
 #include <algorithm>
 
 namespace cassiaspan {
--- a/packages/fleet/store_duty.h
+++ b/packages/fleet/store_duty.h
@@ -14,10 +14,6 @@
 
 namespace cassiaspan {
 
-// Keys in the store.
-constexpr const char* head_key = "head";
-constexpr const char* configuration_key_prefix = "configuration/";
-
 // How the duty behaves.
 struct store_duty_options {
     nanoseconds freshness{};
--- /dev/null
+++ b/packages/policy/head_change.cpp
@@ -0,0 +1,27 @@
+#include "head_change.h"
+
+namespace cassiaspan {
+
+namespace {
+
+// Entries that the history keeps.
+constexpr int max_history = 64;
+
+} // namespace
+
+schema::Head next_generation(const schema::Head& head, const change_label& label) {
+    schema::Head next = head;
+    next.set_generation(head.generation() + 1);
+    next.set_change_id(label.change_id);
+    auto* entry = next.add_history();
+    entry->set_generation(next.generation());
+    entry->set_change_id(label.change_id);
+    entry->set_operator_name(label.operator_name);
+    entry->set_summary(label.summary);
+    if (next.history_size() > max_history) {
+        next.mutable_history()->DeleteSubrange(0, next.history_size() - max_history);
+    }
+    return next;
+}
+
+} // namespace cassiaspan
