--- a/packages/entry/daemon.cpp
+++ b/packages/entry/daemon.cpp
@@ -225,10 +225,11 @@
                                  this->node, this->peers, this->time);
     this->budget_thread.emplace(milliseconds{set.loan_ms()}, this->budgets, this->node, this->peers,
                                 this->time);
-    this->records_thread.emplace(this->records, this->node, 4 * freshness, this->time, [this](std::uint64_t generation) {
-        this->node.set_handed_over(generation);
-        this->store_thread->set_handed_over(generation);
-    });
+    this->records_thread.emplace(this->records, this->node, 4 * freshness, this->time,
+                                 [this](std::uint64_t generation) {
+                                     this->node.set_handed_over(generation);
+                                     this->store_thread->set_handed_over(generation);
+                                 });
     this->overlay_thread->on_tick([this] {
         this->share_loads();
         this->watch_licence();
@@ -368,8 +369,8 @@
     return false;
 }
 
-// While callers may still know it, the VM serves whoever comes; then it refuses, and stops when nothing is in flight
-// and no member list names it any more.
+// While callers may still know it, the VM serves whoever comes; then it refuses, and stops when nothing is in
+// flight and no member list names it any more.
 bool daemon::may_stop(instant leaving_since) {
     const bool unknown_to_callers =
         this->time.now() - leaving_since >= milliseconds{this->settings.drain_grace_ms()};
--- a/packages/entry/service_metrics.cpp
+++ b/packages/entry/service_metrics.cpp
@@ -71,7 +71,8 @@
         const std::string labels = "workspace=\"" + key.workspace + "\",service=\"" + key.service + "\"";
         for (std::size_t i = 0; i < quantiles.size(); ++i) {
             text << "cassiaspan_request_seconds{" << labels << ",quantile=\"" << quantiles.at(i) << "\"} "
-                 << boost::accumulators::extended_p_square(entry.latency_s)[static_cast<std::ptrdiff_t>(i)] << "\n";
+                 << boost::accumulators::extended_p_square(entry.latency_s)[static_cast<std::ptrdiff_t>(i)]
+                 << "\n";
         }
         text << "cassiaspan_request_seconds_sum{" << labels << "} "
              << boost::accumulators::sum(entry.latency_s) << "\n";
--- a/packages/fleet/overlay_duty.cpp
+++ b/packages/fleet/overlay_duty.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr milliseconds tick{100};
+// Peers that do not bring the proofs are pulled from this much more seldom.
+constexpr int slow_factor = 4;
 
 } // namespace
 
@@ -68,9 +70,8 @@
         addresses.push_back(vm.peer_address());
     }
     // Without a fresh proof the members themselves are asked: only a majority of them can license this VM.
-    const auto age = this->node.proof_age();
     const auto generation = this->node.current();
-    if (generation && (!age || *age > this->options.freshness / 2)) {
+    if (generation && this->lacks_proof()) {
         for (const auto& list : generation->head.lists()) {
             for (const auto& member : list.members()) {
                 addresses.push_back(member.peer_address());
@@ -83,11 +84,28 @@
     return addresses;
 }
 
+bool overlay_duty::lacks_proof() const {
+    const auto age = this->node.proof_age();
+    return !age || *age > this->options.freshness / 2;
+}
+
+std::string overlay_duty::freshest_peer() const {
+    const auto newest = std::max_element(this->peer_proofs.begin(), this->peer_proofs.end(),
+                                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    return newest == this->peer_proofs.end() ? "" : newest->first;
+}
+
 void overlay_duty::pull_due_peers() {
     const instant now = this->time.now();
+    const bool hurry = this->lacks_proof();
+    const std::string freshest = this->freshest_peer();
     for (const std::string& address : this->peer_addresses()) {
+        // One peer brings the proofs; the others are asked often enough to know that they live.
+        const milliseconds interval = hurry || address == freshest
+                                          ? this->options.pull_interval
+                                          : slow_factor * this->options.pull_interval;
         const auto last = this->last_pulls.find(address);
-        if (last == this->last_pulls.end() || now - last->second >= this->options.pull_interval - tick / 2) {
+        if (last == this->last_pulls.end() || now - last->second >= interval - tick / 2) {
             this->pull(address);
         }
     }
@@ -116,6 +134,11 @@
 void overlay_duty::handle(pull_done& done) {
     this->pulling[done.peer_address] = false;
     this->node.note_pull_reply(done.reply, done.asked);
+    if (done.reply.has_proof()) {
+        this->peer_proofs[done.peer_address] =
+            done.asked - microseconds{static_cast<std::int64_t>(done.reply.proof_age_us())};
+    }
+
     const std::uint64_t incarnation = done.reply.self().incarnation();
     const auto present = this->node.current();
     if (done.reply.has_head() && (!present || done.reply.head().generation() > present->head.generation())) {
--- a/packages/fleet/overlay_duty.h
+++ b/packages/fleet/overlay_duty.h
@@ -76,6 +76,8 @@
     void fetch(const std::string& peer_address, std::uint64_t incarnation, const std::string& name,
                const schema::Head& head, instant read);
     [[nodiscard]] std::vector<std::string> peer_addresses() const;
+    [[nodiscard]] bool lacks_proof() const;
+    [[nodiscard]] std::string freshest_peer() const;
     void post(event item);
 
     overlay_options options;
@@ -84,6 +86,8 @@
     const clock& time;
     bounded_ring<event> events{4096};
     std::map<std::string, instant> last_pulls;
+    // When the store confirmed what each peer last told.
+    std::map<std::string, instant> peer_proofs;
     std::map<std::string, bool> pulling;
     std::function<void()> tick_action;
     std::atomic<bool> stopping{false};
--- a/packages/fleet/record_home.cpp
+++ b/packages/fleet/record_home.cpp
@@ -145,7 +145,8 @@
     }
     bool everywhere = true;
     for (const auto& member : generation.head.lists(0).members()) {
-        const bool arrived = is_self(this->node, member) || this->is_ended(member) || this->hand_over_to(member, generation);
+        const bool arrived =
+            is_self(this->node, member) || this->is_ended(member) || this->hand_over_to(member, generation);
         everywhere = everywhere && (arrived || pass_over_silent);
     }
     return everywhere;
--- a/packages/fleet/record_home.h
+++ b/packages/fleet/record_home.h
@@ -50,9 +50,9 @@
     [[nodiscard]] schema::CompleteReply answer(const schema::Complete& message);
     [[nodiscard]] schema::HandoverReply answer(const schema::Handover& message);
 
-    // Copies records to the homes that the newest member list gives them; returns whether all have arrived. Homes that
-    // run another incarnation by now are passed over, and with `pass_over_silent` those that do not answer: the other
-    // home has the copy then, and a claim needs both.
+    // Copies records to the homes that the newest member list gives them; returns whether all have arrived.
+    // Homes that run another incarnation by now are passed over, and with `pass_over_silent` those that do
+    // not answer: the other home has the copy then, and a claim needs both.
     [[nodiscard]] bool hand_over(const generation_view& generation, bool pass_over_silent);
     // Forgets what is over.
     void expire();
--- a/packages/fleet/records_duty.cpp
+++ b/packages/fleet/records_duty.cpp
@@ -8,9 +8,10 @@
 
 } // namespace
 
-records_duty::records_duty(record_home& records_in, node_state& node_in, nanoseconds patience_in, const clock& clock_in,
-                           std::function<void(std::uint64_t)> on_done_in)
-    : records(records_in), node(node_in), on_done(std::move(on_done_in)), patience(patience_in), time(clock_in) {}
+records_duty::records_duty(record_home& records_in, node_state& node_in, nanoseconds patience_in,
+                           const clock& clock_in, std::function<void(std::uint64_t)> on_done_in)
+    : records(records_in), node(node_in), on_done(std::move(on_done_in)), patience(patience_in),
+      time(clock_in) {}
 
 records_duty::~records_duty() {
     this->stop();
--- a/packages/fleet/records_duty.h
+++ b/packages/fleet/records_duty.h
@@ -16,7 +16,7 @@
 class records_duty {
 public:
     // `on_done` is called with Head.lists_generation when everything has been handed over for it.
-    
+
     // Homes that stay silent for `patience` are passed over.
     records_duty(record_home& records_in, node_state& node_in, nanoseconds patience_in, const clock& clock_in,
                  std::function<void(std::uint64_t)> on_done_in);
@@ -32,14 +32,13 @@
     void stop();
 
 private:
-    
     void run();
     void hand_over(const generation_view& generation);
 
     record_home& records;
     node_state& node;
     std::function<void(std::uint64_t)> on_done;
-    
+
     nanoseconds patience;
     const clock& time;
     std::uint64_t handed_over = 0;
--- a/packages/fleet/store_duty.cpp
+++ b/packages/fleet/store_duty.cpp
@@ -10,7 +10,7 @@
 // A VM without a proof asks the store itself at most this often.
 constexpr milliseconds direct_interval{1000};
 // How long a region's relay may be silent before another VM tries for its lease.
-constexpr milliseconds relay_silence{2000};
+constexpr milliseconds relay_silence{5000};
 
 } // namespace
 
@@ -75,7 +75,7 @@
 
 bool store_duty::needs_proof() const {
     const auto age = this->node.proof_age();
-    return !age || *age > this->options.freshness / 2;
+    return !age || *age > this->options.freshness * 2 / 3;
 }
 
 bool store_duty::region_has_relay() const {
@@ -143,7 +143,8 @@
     if (this->node.vm_list().name.empty()) {
         this->read_vm_list();
     }
-    if (!this->node.is_leaving() && !this->region_has_relay()) {
+    // Another region's relay will do as long as its proofs come in time: a try costs a call.
+    if (!this->node.is_leaving() && this->needs_proof() && !this->region_has_relay()) {
         this->hold_relay_lease();
     }
     if (!this->relay && this->needs_proof() && this->time.now() - this->direct_checked > direct_interval) {
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -111,7 +111,8 @@
     // The library is initialised once: without TLS at first, it would never have it.
     mg_init_library(MG_FEATURES_TLS);
     if (!options.tls_certificate_file.empty() && OPENSSL_VERSION_MAJOR >= 3) {
-        // It looks up SSL_get_peer_certificate, which OpenSSL 3 does not export, and would crash at the first caller.
+        // It looks up SSL_get_peer_certificate, which OpenSSL 3 does not export, and would crash at the first
+        // caller.
         return tl::make_unexpected("CivetWeb 1.15 cannot serve TLS with OpenSSL 3");
     }
     std::unique_ptr<http_server> server(new http_server(std::move(handler), time, options.workers));
@@ -214,7 +215,8 @@
     }
 }
 
-// Runs under the lock. A connection leaves `open` under it before its socket is closed, so a socket found is its own.
+// Runs under the lock. A connection leaves `open` under it before its socket is closed, so a socket found is
+// its own.
 void http_server::close_idle_connections() {
     const std::size_t keep = this->workers - reserve_of(this->workers);
     const auto closing = static_cast<std::size_t>(std::count_if(
@@ -248,8 +250,8 @@
     return candidates.size();
 }
 
-// Closes connections that have not sent a whole request head. One that waits for a worker with bytes unread is none of
-// them.
+// Closes connections that have not sent a whole request head. One that waits for a worker with bytes unread
+// is none of them.
 void http_server::close_silent(std::size_t surplus, instant now) {
     std::map<socket_address, instant> still_silent;
     std::vector<std::pair<instant, int>> candidates;
--- a/packages/policy/block_table.cpp
+++ b/packages/policy/block_table.cpp
@@ -79,7 +79,8 @@
     this->sites.shrink_to_fit();
     this->index.resize(index_entries);
     for (std::size_t upper = 0; upper + 1 < index_entries; ++upper) {
-        const auto first = std::upper_bound(this->starts.begin(), this->starts.end(), static_cast<std::uint32_t>(upper << 16U));
+        const auto first = std::upper_bound(this->starts.begin(), this->starts.end(),
+                                            static_cast<std::uint32_t>(upper << 16U));
         this->index[upper] = static_cast<std::uint32_t>(first - this->starts.begin()) - 1;
     }
     this->index.back() = static_cast<std::uint32_t>(this->starts.size()) - 1;
--- a/packages/policy/block_table.h
+++ b/packages/policy/block_table.h
@@ -1,7 +1,8 @@
-// Which site serves a block of client addresses: longest prefix first, for a table that never changes once made.
+// Which site serves a block of client addresses: longest prefix first, for a table that never changes once
+// made.
 //
-// Nested prefixes are flattened into disjoint ranges, so that a look-up is one search; a delta makes another table
-// while readers go on with the present one.
+// Nested prefixes are flattened into disjoint ranges, so that a look-up is one search; a delta makes another
+// table while readers go on with the present one.
 #pragma once
 
 #include <compare>
--- a/packages/policy/budget.cpp
+++ b/packages/policy/budget.cpp
@@ -81,15 +81,17 @@
     clip(state);
 }
 
-// Smooths what is noise, but follows at once what is more than three standard deviations of a Poisson count above.
+// Smooths what is noise, but follows at once what is more than three standard deviations of a Poisson count
+// above.
 void update_demand(budget& state, instant now) {
     const nanoseconds elapsed = now - state.demand_since;
     if (elapsed < demand_window) {
         return;
     }
-    const auto measured = static_cast<std::int64_t>(wide(state.arrivals) * micro_requests * nanoseconds_per_second /
-                                                    elapsed.count());
-    const double expected = static_cast<double>(state.demand) / micro_requests * std::chrono::duration<double>(elapsed).count();
+    const auto measured = static_cast<std::int64_t>(wide(state.arrivals) * micro_requests *
+                                                    nanoseconds_per_second / elapsed.count());
+    const double expected =
+        static_cast<double>(state.demand) / micro_requests * std::chrono::duration<double>(elapsed).count();
     const bool jumped = static_cast<double>(state.arrivals) > expected + 3 * std::sqrt(expected + 1);
     const bool long_ago = elapsed > 4 * demand_window;
     state.demand = jumped || long_ago
--- a/packages/policy/targets.cpp
+++ b/packages/policy/targets.cpp
@@ -8,6 +8,10 @@
 
 // A new target starts at this part of its slots and ramps up over the slow-start time.
 constexpr double slow_start_floor = 0.2;
+// Services with more targets are sampled: so many draws find two near targets in most of nine regions'
+// fleets.
+constexpr std::size_t scanned_targets = 64;
+constexpr std::size_t sampled_targets = 32;
 
 bool is_ejected(const target_state& state, instant now) {
     return state.ejected_until && *state.ejected_until > now;
@@ -47,19 +51,26 @@
     return relative_load(input, second) < relative_load(input, first) ? second : first;
 }
 
-} // namespace
-
-double estimate_load(const target_state& state, instant now) {
-    const nanoseconds age = now - state.peers_reported;
-    const double trust = std::clamp(1.0 - std::chrono::duration<double>(age) / report_lifetime, 0.0, 1.0);
-    return static_cast<double>(state.in_flight) + trust * static_cast<double>(state.peers_in_flight);
-}
-
-bool is_leaving(const target_view& target, std::chrono::system_clock::time_point wall_now) {
-    return target.leaves_at && *target.leaves_at <= wall_now;
+// Looks at a few random targets only; nothing when there are not two near ones with room among them.
+std::optional<std::size_t> sample_near_target(const choice_input& input, random_engine& random) {
+    std::uniform_int_distribution<std::size_t> draw(0, input.states.size() - 1);
+    std::optional<std::size_t> first;
+    for (std::size_t i = 0; i < sampled_targets; ++i) {
+        const std::size_t index = draw(random);
+        const bool near = input.service.targets[index].region == input.here.region;
+        if (!near || !is_serving(input, index) || !has_room(input, index)) {
+            continue;
+        }
+        if (first) {
+            return relative_load(input, index) < relative_load(input, *first) ? index : *first;
+        }
+        first = index;
+    }
+    return std::nullopt;
 }
 
-target_choice choose_target(const choice_input& input, random_engine& random) {
+// Looks at all targets: the less loaded of two near ones with room, or else of two far ones.
+target_choice scan_targets(const choice_input& input, random_engine& random) {
     std::vector<std::size_t> local;
     std::vector<std::size_t> remote;
     bool serving = false;
@@ -80,6 +91,27 @@
     return {pick_less_loaded(input, candidates, random), no_target::none_serving};
 }
 
+} // namespace
+
+double estimate_load(const target_state& state, instant now) {
+    const nanoseconds age = now - state.peers_reported;
+    const double trust = std::clamp(1.0 - std::chrono::duration<double>(age) / report_lifetime, 0.0, 1.0);
+    return static_cast<double>(state.in_flight) + trust * static_cast<double>(state.peers_in_flight);
+}
+
+bool is_leaving(const target_view& target, std::chrono::system_clock::time_point wall_now) {
+    return target.leaves_at && *target.leaves_at <= wall_now;
+}
+
+target_choice choose_target(const choice_input& input, random_engine& random) {
+    if (input.states.size() > scanned_targets) {
+        if (const auto sampled = sample_near_target(input, random)) {
+            return {sampled, no_target::none_serving};
+        }
+    }
+    return scan_targets(input, random);
+}
+
 bool note_outcome(std::vector<target_state>& states, std::size_t index, bool success, instant now) {
     target_state& state = states[index];
     if (success) {
--- a/tools/render_events.cpp
+++ b/tools/render_events.cpp
@@ -4,4 +4,6 @@
 
 #include <iostream>
 
-int main() { std::cout << cassiaspan::render_event_catalogue(); }
+int main() {
+    std::cout << cassiaspan::render_event_catalogue();
+}
