--- a/packages/entry/caller_service.cpp
+++ b/packages/entry/caller_service.cpp
@@ -15,9 +15,8 @@
 namespace {
 
 constexpr const char* steer_path = "/v1/steer";
-// Retries stay below this part of the requests, with a small reserve for quiet times.
+// Retries stay below this part of the requests, but for the reserve.
 constexpr double retries_per_request = 0.1;
-constexpr double max_retry_allowance = 10;
 constexpr int first_error_status = 500;
 
 std::string query_value(const mg_request_info& info, const char* name) {
--- a/packages/entry/caller_service.h
+++ b/packages/entry/caller_service.h
@@ -77,8 +77,10 @@
     caller_service_parts parts;
     std::mutex mutex;
     random_engine random;
+    // Reserve of retries for quiet times, which a VM that has just started has too.
+    static constexpr double max_retry_allowance = 10;
     // Retries allowed at the moment; each finished request earns a part of one.
-    double retry_allowance = 0;
+    double retry_allowance = max_retry_allowance;
     std::atomic<bool> refusing{false};
     std::atomic<std::size_t> active{0};
     std::atomic<std::uint64_t> finished{0};
--- a/packages/policy/digest.cpp
+++ b/packages/policy/digest.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <openssl/sha.h>
-#include <xxhash.h>
 
 namespace cassiaspan {
 
@@ -23,8 +22,4 @@
     return to_hex(digest.data(), digest.size());
 }
 
-std::uint64_t stable_hash(std::string_view text, std::uint64_t seed) {
-    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
 } // namespace cassiaspan
--- /dev/null
+++ b/packages/policy/fleet_bucket.h
@@ -0,0 +1,55 @@
+// A workspace's token bucket, replicated on every VM. Each VM takes its own tokens at once and those that other
+// VMs took as soon as they report them, so that the fleet as a whole stays within rate and burst; what was
+// taken beyond, while reports were on their way, is paid back before more is given.
+#pragma once
+
+#include "clock.h"
+
+#include <compare>
+#include <cstddef>
+
+namespace cassiaspan {
+
+// Rate and burst of one workspace over all VMs.
+struct bucket_contract {
+    // Tokens per second; 0 means unlimited.
+    double rate = 0;
+    double burst = 0;
+    auto operator<=>(const bucket_contract&) const = default;
+};
+
+// How many VMs share the bucket, and how many of them have lately reported what they took.
+struct bucket_sharers {
+    // VMs of the fleet, this one included.
+    std::size_t total = 1;
+    std::size_t reporting = 1;
+    auto operator<=>(const bucket_sharers&) const = default;
+};
+
+// One VM's copy of the bucket.
+struct fleet_bucket {
+    double tokens = 0;
+    instant refilled;
+    auto operator<=>(const fleet_bucket&) const = default;
+};
+
+// A VM that has just started cannot know what was taken before: its copy starts with this much of the rate.
+constexpr milliseconds initial_tokens_time{500};
+
+// Returns the copy of a VM that has just started, or that learns of the workspace.
+[[nodiscard]] fleet_bucket make_fleet_bucket(const bucket_contract& contract, instant now);
+
+// Adds what has flowed in since the last call. The part of the VMs that do not report is left to them.
+void refill(fleet_bucket& bucket, const bucket_contract& contract, const bucket_sharers& sharers, instant now);
+
+// Takes a token, if there is one.
+[[nodiscard]] bool take_token(fleet_bucket& bucket, const bucket_contract& contract,
+                              const bucket_sharers& sharers, instant now);
+
+// Notes tokens that another VM took.
+void note_taken(fleet_bucket& bucket, const bucket_contract& contract, double tokens);
+
+// Returns the time until the next token is there.
+[[nodiscard]] milliseconds time_to_token(const fleet_bucket& bucket, const bucket_contract& contract);
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/policy/repeat_budget.h
@@ -0,0 +1,36 @@
+// The budget of repeats: how many times, in any window, requests for a service may be sent to a further target.
+// The bound holds over all VMs; each VM keeps to its part without asking the others.
+#pragma once
+
+#include "clock.h"
+
+#include <compare>
+#include <cstddef>
+#include <deque>
+
+namespace cassiaspan {
+
+// The bound over all VMs: `ratio` x requests + `slack` repeats in each window.
+struct repeat_terms {
+    double ratio = 0;
+    double slack = 0;
+    seconds window{10};
+    auto operator<=>(const repeat_terms&) const = default;
+};
+
+// What this VM did for one service in the last window.
+struct repeat_budget {
+    std::deque<instant> requests;
+    std::deque<instant> repeats;
+    auto operator<=>(const repeat_budget&) const = default;
+};
+
+// Notes a caller's request for the service.
+void note_request(repeat_budget& budget, const repeat_terms& terms, instant now);
+
+// Returns whether one more repeat fits into this VM's part, and counts it when it does. `vm_count` VMs share
+// the slack.
+[[nodiscard]] bool take_repeat(repeat_budget& budget, const repeat_terms& terms, std::size_t vm_count,
+                               instant now);
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/policy/target_health.h
@@ -0,0 +1,54 @@
+// What a VM has learned of a target from its own requests: how fast it answers, how often it fails.
+#pragma once
+
+#include "clock.h"
+
+#include <compare>
+#include <cstddef>
+
+namespace cassiaspan {
+
+// How one request at a target ended.
+enum class target_outcome {
+    // A whole answer, also an error of the application.
+    answered,
+    // The target said that it did not run the request, since it is full.
+    rejected,
+    // No connection could be made: nothing was sent.
+    unreachable,
+    // The connection ended or the answer was malformed after the request was sent.
+    failed
+};
+
+// Beliefs about one target.
+struct target_health {
+    // Moving average of the time of one request, counted without waiting for a slot; 0 before the first.
+    milliseconds service_time{};
+    // Moving average of the round trip of opening a connection.
+    milliseconds round_trip{};
+    // Moving average of failures, 0 to 1.
+    double failure_share = 0;
+    int unreachable_in_row = 0;
+    // No request is sent before.
+    instant blocked_until;
+    auto operator<=>(const target_health&) const = default;
+};
+
+// The service time that is expected while nothing is known.
+constexpr milliseconds unknown_service_time{300};
+
+// Notes how a request ended. `latency` is the time it took and `load` the requests at the target, over its
+// `slots`, when it was sent.
+void note_outcome(target_health& health, target_outcome outcome, milliseconds latency, double load,
+                  double slots, instant now);
+
+// Notes the time that opening a connection took.
+void note_connect_time(target_health& health, milliseconds time);
+
+// Returns whether the target may be asked at all.
+[[nodiscard]] bool is_blocked(const target_health& health, instant now);
+
+// Returns whether the target fails often, or is far slower than `usual` for its service.
+[[nodiscard]] bool is_doubtful(const target_health& health, milliseconds usual);
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/asio_types.cpp
@@ -0,0 +1,55 @@
+#include "asio_types.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace cassiaspan {
+
+tcp::endpoint tcp_endpoint(const socket_address& address) {
+    return {asio::ip::make_address(address.host), address.port};
+}
+
+udp::endpoint udp_endpoint(const socket_address& address) {
+    return {asio::ip::make_address(address.host), address.port};
+}
+
+std::string render_address(const socket_address& address) {
+    return address.host + ":" + std::to_string(address.port);
+}
+
+error_code open_listener(tcp::acceptor& acceptor, const socket_address& address) {
+    // Connections that arrive together wait here; the system cuts it to its own limit.
+    constexpr int backlog = 1024;
+    error_code error;
+    const tcp::endpoint endpoint = tcp_endpoint(address);
+    acceptor.open(endpoint.protocol(), error);
+    if (!error) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor.listen(backlog, error);
+    }
+    return error;
+}
+
+void set_stream_options(tcp::socket& socket, milliseconds user_timeout) {
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const unsigned timeout = static_cast<unsigned>(user_timeout.count());
+    // A platform without the option only notices silence later.
+    static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+                                   sizeof(timeout)));
+}
+
+asio::awaitable<void> sleep_for(asio::io_context& context, nanoseconds time) {
+    asio::steady_timer timer(context);
+    timer.expires_after(time);
+    error_code ignored;
+    co_await timer.async_wait(into(ignored));
+}
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/asio_types.h
@@ -0,0 +1,50 @@
+// Short names of the networking library's types, and helpers for operations that report errors by value.
+#pragma once
+
+// Boost 1.74's awaitable.hpp needs std::exchange, but does not include its header.
+#include <utility>
+
+#include "address.h"
+#include "clock.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/system/error_code.hpp>
+
+namespace cassiaspan {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using asio::ip::udp;
+using boost::system::error_code;
+
+// Completion token of an operation that reports its error in `error`.
+inline auto into(error_code& error) {
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+// Converts an address; the host must be numeric.
+[[nodiscard]] tcp::endpoint tcp_endpoint(const socket_address& address);
+[[nodiscard]] udp::endpoint udp_endpoint(const socket_address& address);
+[[nodiscard]] std::string render_address(const socket_address& address);
+
+// Binds and listens, or says why not.
+[[nodiscard]] error_code open_listener(tcp::acceptor& acceptor, const socket_address& address);
+
+// Sets what all streams use: no delay, and an early error when the other side is silent.
+void set_stream_options(tcp::socket& socket, milliseconds user_timeout);
+
+// Waits.
+asio::awaitable<void> sleep_for(asio::io_context& context, nanoseconds time);
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/gossip.cpp
@@ -0,0 +1,249 @@
+#include "gossip.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cassiaspan {
+
+namespace {
+
+// Time between datagrams to VMs of the own region: well below the time of a request.
+constexpr milliseconds near_interval{100};
+// Every so many rounds the VMs of other regions hear too.
+constexpr std::uint64_t far_rounds = 3;
+// Records of other VMs in one datagram.
+constexpr std::size_t max_others = 3;
+constexpr std::size_t max_datagram = 60'000;
+
+void add_others(const node_core& core, schema::Gossip& gossip) {
+    const instant now = now_of(core);
+    std::size_t count = 0;
+    for (const auto& [name, peer] : core.peers.by_name) {
+        if (!is_heard(peer, now) || count++ >= max_others) {
+            continue;
+        }
+        schema::VmRecord& record = *gossip.add_others();
+        record.set_name(name);
+        record.set_availability_zone(peer.availability_zone);
+        record.set_region(peer.region);
+        record.set_caller_address(render_address(peer.caller_address));
+        record.set_peer_address(render_address(peer.peer_address));
+        record.set_gossip_address(render_address(peer.gossip_address));
+        record.set_started_ms(peer.started_ms);
+    }
+}
+
+// Replaces what a peer had in flight by what it says now.
+void take_target_uses(node_core& core, peer_vm& peer, const schema::Gossip& gossip) {
+    const auto add = [&core](std::uint32_t hash, std::int64_t count) {
+        if (const target_ptr target = core.targets.find_by_hash(hash)) {
+            const auto sum = static_cast<std::int64_t>(target->peers_in_flight) + count;
+            target->peers_in_flight = static_cast<std::size_t>(std::max<std::int64_t>(0, sum));
+        }
+    };
+    for (const auto& [hash, count] : peer.target_uses) {
+        add(hash, -static_cast<std::int64_t>(count));
+    }
+    peer.target_uses.clear();
+    for (const schema::TargetUse& use : gossip.target_uses()) {
+        peer.target_uses[use.target()] = use.in_flight();
+        add(use.target(), use.in_flight());
+    }
+}
+
+// Charges what a peer has admitted since its last report.
+void take_workspace_uses(node_core& core, peer_vm& peer, const schema::Gossip& gossip) {
+    std::unordered_map<std::uint32_t, std::uint64_t> fresh;
+    for (const schema::WorkspaceUse& use : gossip.workspace_uses()) {
+        const auto before = peer.workspace_uses.find(use.workspace());
+        const std::uint64_t known = before == peer.workspace_uses.end() ? 0 : before->second;
+        peer.workspace_uses[use.workspace()] = std::max(known, use.admitted());
+        if (use.admitted() > known) {
+            fresh[use.workspace()] = use.admitted() - known;
+        }
+    }
+    for (auto& [name, use] : core.workspaces) {
+        const auto found = fresh.find(use.name_hash);
+        if (found != fresh.end()) {
+            note_taken(use.bucket, use.contract, static_cast<double>(found->second));
+        }
+    }
+}
+
+void take_crashes(node_core& core, const schema::Gossip& gossip) {
+    for (const schema::CrashReport& report : gossip.crashes()) {
+        note_death(core.crashes, report.request(), report.death(), now_of(core));
+    }
+}
+
+} // namespace
+
+schema::VmRecord make_vm_record(const node_core& core) {
+    schema::VmRecord record;
+    record.set_name(core.settings.vm);
+    record.set_availability_zone(core.settings.availability_zone);
+    record.set_region(core.settings.region);
+    record.set_caller_address(render_address(core.settings.caller_address));
+    record.set_peer_address(render_address(core.settings.peer_address));
+    record.set_gossip_address(render_address(core.settings.gossip_address));
+    record.set_started_ms(core.started_ms);
+    return record;
+}
+
+schema::Gossip make_gossip(const node_core& core, std::uint64_t sequence) {
+    schema::Gossip gossip;
+    *gossip.mutable_sender() = make_vm_record(core);
+    gossip.set_sequence(sequence);
+    gossip.set_accepting(is_accepting(core));
+    gossip.set_store_revision(core.mirror.revision);
+    for (const auto& [id, target] : core.targets.all()) {
+        if (target->in_flight > 0) {
+            schema::TargetUse& use = *gossip.add_target_uses();
+            use.set_target(low_half(target->identity));
+            use.set_in_flight(static_cast<std::uint32_t>(target->in_flight));
+        }
+    }
+    for (const auto& [name, use] : core.workspaces) {
+        schema::WorkspaceUse& told = *gossip.add_workspace_uses();
+        told.set_workspace(use.name_hash);
+        told.set_admitted(use.admitted);
+    }
+    const instant now = now_of(core);
+    for (const auto& [report, until] : core.crash_reports) {
+        if (now < until) {
+            schema::CrashReport& told = *gossip.add_crashes();
+            told.set_request(report.first);
+            told.set_death(report.second);
+        }
+    }
+    return gossip;
+}
+
+bool take_gossip(node_core& core, const std::string& datagram) {
+    schema::Gossip gossip;
+    if (!gossip.ParseFromString(datagram) || gossip.sender().name() == core.settings.vm) {
+        return false;
+    }
+    const instant now = now_of(core);
+    for (const schema::VmRecord& other : gossip.others()) {
+        if (other.name() != core.settings.vm) {
+            note_record(core.peers, other, now);
+        }
+    }
+    const auto known = core.peers.by_name.find(gossip.sender().name());
+    if (known != core.peers.by_name.end() && known->second.started_ms < gossip.sender().started_ms()) {
+        // The former incarnation's requests have ended with it.
+        take_target_uses(core, known->second, {});
+    }
+    peer_vm* peer = note_record(core.peers, gossip.sender(), now);
+    if (peer == nullptr || gossip.sequence() <= peer->sequence) {
+        return false;
+    }
+    if (!is_heard(*peer, now)) {
+        core.log.write(now, node_event::peer_changed,
+                       log_fields().add("peer", peer->name).add("state", "heard"));
+    }
+    const bool is_first = !peer->heard;
+    peer->heard = now;
+    peer->sequence = gossip.sequence();
+    peer->accepting = gossip.accepting();
+    peer->store_revision = std::max(peer->store_revision, gossip.store_revision());
+    take_target_uses(core, *peer, gossip);
+    if (is_first) {
+        // What a VM admitted before it was first heard is in no bucket of a VM that has just started.
+        for (const schema::WorkspaceUse& use : gossip.workspace_uses()) {
+            peer->workspace_uses[use.workspace()] = use.admitted();
+        }
+    }
+    take_workspace_uses(core, *peer, gossip);
+    take_crashes(core, gossip);
+    ++core.metrics.gossip_received;
+    return true;
+}
+
+void forget_silent_peers(node_core& core) {
+    const instant now = now_of(core);
+    for (auto& [name, peer] : core.peers.by_name) {
+        if (!peer.target_uses.empty() && !is_heard(peer, now)) {
+            take_target_uses(core, peer, {});
+            core.log.write(now, node_event::peer_changed,
+                           log_fields().add("peer", name).add("state", "silent"));
+        }
+    }
+}
+
+error_code gossip_socket::open() {
+    error_code error;
+    const udp::endpoint endpoint = udp_endpoint(this->core.settings.gossip_address);
+    this->socket.open(endpoint.protocol(), error);
+    if (!error) {
+        this->socket.bind(endpoint, error);
+    }
+    if (!error) {
+        this->socket.non_blocking(true, error);
+    }
+    return error;
+}
+
+void gossip_socket::send_to(const socket_address& address, const std::string& datagram) {
+    error_code error;
+    this->socket.send_to(asio::buffer(datagram), udp_endpoint(address), 0, error);
+    if (!error) {
+        ++this->core.metrics.gossip_sent;
+    }
+}
+
+void gossip_socket::announce() {
+    const std::string datagram = make_gossip(this->core, ++this->sequence).SerializeAsString();
+    for (const auto& [name, peer] : this->core.peers.by_name) {
+        this->send_to(peer.gossip_address, datagram);
+    }
+}
+
+asio::awaitable<void> gossip_socket::send_loop() {
+    for (std::uint64_t round = 0;; ++round) {
+        schema::Gossip gossip = make_gossip(this->core, ++this->sequence);
+        const std::string near = gossip.SerializeAsString();
+        const bool is_far_round = round % far_rounds == 0;
+        if (is_far_round) {
+            add_others(this->core, gossip);
+        }
+        const std::string far = is_far_round ? gossip.SerializeAsString() : std::string();
+        std::size_t heard = 0;
+        for (const auto& [name, peer] : this->core.peers.by_name) {
+            const bool is_near = peer.region == this->core.settings.region;
+            heard += is_heard(peer, now_of(this->core)) ? 1 : 0;
+            if (is_near && !is_far_round) {
+                this->send_to(peer.gossip_address, near);
+            } else if (is_far_round) {
+                this->send_to(peer.gossip_address, far);
+            }
+        }
+        if (heard == 0 && is_far_round) {
+            // Without a peer, the VMs of the settings may know the others.
+            for (socket_address seed : this->core.settings.seeds) {
+                seed.port = this->core.settings.gossip_address.port;
+                this->send_to(seed, far);
+            }
+        }
+        co_await sleep_for(this->core.context, near_interval);
+    }
+}
+
+asio::awaitable<void> gossip_socket::receive_loop() {
+    std::string datagram(max_datagram, '\0');
+    for (;;) {
+        udp::endpoint sender;
+        error_code error;
+        const std::size_t size =
+            co_await this->socket.async_receive_from(asio::buffer(datagram), sender, into(error));
+        if (!this->socket.is_open()) {
+            co_return;
+        }
+        if (!error) {
+            take_gossip(this->core, datagram.substr(0, size));
+        }
+    }
+}
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/node_core.cpp
@@ -0,0 +1,152 @@
+#include "node_core.h"
+
+#include "stable_hash.h"
+
+#include <algorithm>
+
+namespace cassiaspan {
+
+namespace {
+
+// An entry that is gone after the store was away may only have lapsed: the target is used for this much longer,
+// as entries of live targets return within about two seconds.
+constexpr milliseconds lapsed_entry_time{1700};
+// How long after its return the store counts as having been away.
+constexpr milliseconds store_return_time{1000};
+
+void log_findings(node_core& core, const store_change& change, const findings& found) {
+    for (const finding& each : found) {
+        core.log.write(now_of(core), node_event::entry_rejected,
+                       log_fields()
+                           .add("key", change.key)
+                           .add("revision", change.item.revision)
+                           .add("place", each.place)
+                           .add("why", each.text));
+    }
+}
+
+struct change_applier {
+    node_core& core;
+    const store_change& change;
+
+    void operator()(const irrelevant_change& /*decoded*/) const {}
+
+    void operator()(const target_entry_change& decoded) const {
+        const instant now = now_of(this->core);
+        log_findings(this->core, this->change, decoded.problems);
+        if (!decoded.info) {
+            const bool was_away =
+                this->core.store_is_lost || now - this->core.store_regained < store_return_time;
+            this->core.targets.remove(decoded.id, was_away ? now + lapsed_entry_time : now);
+            this->core.log.write(now, node_event::target_changed,
+                                 log_fields()
+                                     .add("target", decoded.id)
+                                     .add("state", "removed")
+                                     .add("held_ms", was_away ? lapsed_entry_time.count() : 0)
+                                     .add("revision", this->change.item.revision));
+            return;
+        }
+        if (this->core.targets.update(*decoded.info, now)) {
+            this->core.log.write(now, node_event::target_changed,
+                                 log_fields()
+                                     .add("target", decoded.id)
+                                     .add("service", decoded.info->service)
+                                     .add("state", decoded.info->draining ? "draining" : "ready")
+                                     .add("zone", decoded.info->availability_zone)
+                                     .add("cold_ms", decoded.info->cold_remaining.count())
+                                     .add("revision", this->change.item.revision));
+        }
+    }
+
+    void operator()(const config_change& decoded) const {
+        const std::uint64_t version = decoded.config->rules().version;
+        if (this->core.config && this->core.config->rules().version >= version) {
+            return;
+        }
+        this->core.config = decoded.config;
+        if (this->core.phase == node_phase::starting) {
+            this->core.phase = node_phase::serving;
+        }
+        this->core.log.write(now_of(this->core), node_event::config_adopted,
+                             log_fields()
+                                 .add("version", version)
+                                 .add("routes", decoded.config->rules().routes.size())
+                                 .add("workspaces", decoded.config->rules().workspaces.size())
+                                 .add("revision", this->change.item.revision));
+    }
+
+    void operator()(const evacuation_change& decoded) const {
+        if (decoded.evacuated) {
+            this->core.evacuated_zones.insert(decoded.availability_zone);
+        } else {
+            this->core.evacuated_zones.erase(decoded.availability_zone);
+        }
+        this->core.log.write(now_of(this->core), node_event::evacuation_changed,
+                             log_fields()
+                                 .add("zone", decoded.availability_zone)
+                                 .add("evacuated", decoded.evacuated)
+                                 .add("revision", this->change.item.revision));
+    }
+
+    void operator()(const vm_record_change& decoded) const {
+        if (decoded.vm == this->core.settings.vm) {
+            return;
+        }
+        const instant now = now_of(this->core);
+        if (decoded.removed) {
+            const auto found = this->core.peers.by_name.find(decoded.vm);
+            if (found != this->core.peers.by_name.end()) {
+                found->second.recorded = false;
+            }
+            return;
+        }
+        schema::VmRecord record;
+        if (!record.ParseFromString(decoded.record)) {
+            this->core.log.write(now, node_event::entry_rejected,
+                                 log_fields().add("key", this->change.key).add("why", "not a VM record"));
+            return;
+        }
+        if (peer_vm* peer = note_record(this->core.peers, record, now)) {
+            peer->recorded = true;
+            this->core.log.write(now, node_event::peer_changed,
+                                 log_fields().add("peer", peer->name).add("state", "recorded"));
+        }
+    }
+};
+
+} // namespace
+
+void apply_changes(node_core& core, const std::vector<store_change>& changes) {
+    for (const store_change& change : changes) {
+        const auto decoded = core.platform.decode(change);
+        if (!decoded) {
+            log_findings(core, change, decoded.error());
+            continue;
+        }
+        std::visit(change_applier{core, change}, *decoded);
+    }
+}
+
+workspace_use& use_of(node_core& core, const workspace_rule& workspace) {
+    const bucket_contract contract{workspace.requests_per_second, workspace.burst_requests};
+    const auto [found, is_new] = core.workspaces.try_emplace(workspace.name);
+    workspace_use& use = found->second;
+    if (is_new) {
+        use.name_hash = low_half(stable_hash(workspace.name));
+        use.bucket = make_fleet_bucket(contract, now_of(core));
+        use.contract = contract;
+    } else if (use.contract != contract) {
+        use.contract = contract;
+        use.bucket.tokens = std::min(use.bucket.tokens, contract.burst);
+    }
+    return use;
+}
+
+bucket_sharers sharers_of(const node_core& core) {
+    const instant now = now_of(core);
+    const auto heard = std::count_if(core.peers.by_name.begin(), core.peers.by_name.end(),
+                                     [now](const auto& entry) { return is_heard(entry.second, now); });
+    return {core.peers.by_name.size() + 1, static_cast<std::size_t>(heard) + 1};
+}
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/node_core.h
@@ -0,0 +1,117 @@
+// Everything that one VM knows and believes. The modules of the request path and of the fleet work on it from
+// one thread.
+#pragma once
+
+#include "asio_types.h"
+#include "fleet_bucket.h"
+#include "node_log.h"
+#include "node_metrics.h"
+#include "node_settings.h"
+#include "peer_table.h"
+#include "platform_adapter.h"
+#include "quarantine.h"
+#include "repeat_budget.h"
+#include "steering_config.h"
+#include "store_mirror.h"
+#include "target_table.h"
+#include "traffic_split.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace cassiaspan {
+
+// One workspace's use of its contract.
+struct workspace_use {
+    fleet_bucket bucket;
+    bucket_contract contract;
+    // Requests that this VM has admitted since its start.
+    std::uint64_t admitted = 0;
+    // Lower half of the hash of the name.
+    std::uint32_t name_hash = 0;
+};
+
+// What is learned about a service as a whole.
+struct service_learning {
+    // Moving average of the time of one request without waiting.
+    milliseconds service_time{};
+    repeat_budget repeats;
+};
+
+// How far the VM is in its life.
+enum class node_phase {
+    // No configuration yet.
+    starting,
+    serving,
+    // A planned stop has begun: no longer named to callers.
+    leaving,
+    // New work is refused; what runs is finished.
+    refusing
+};
+
+struct node_core {
+    node_core(asio::io_context& context_in, const clock& time_in, node_settings settings_in,
+              const platform_adapter& platform_in, node_log& log_in)
+        : context(context_in), time(time_in), settings(std::move(settings_in)), platform(platform_in),
+          log(log_in) {}
+
+    asio::io_context& context;
+    const clock& time;
+    node_settings settings;
+    const platform_adapter& platform;
+    node_log& log;
+    node_metrics metrics;
+    std::mt19937_64 random{std::random_device{}()};
+
+    node_phase phase = node_phase::starting;
+    std::uint64_t started_ms = 0;
+
+    store_mirror mirror;
+    // When the store last answered, and whether its last answer was a failure.
+    instant store_answered;
+    instant store_failed_since;
+    bool store_is_lost = false;
+    instant store_regained;
+
+    std::shared_ptr<const steering_config> config;
+    target_table targets;
+    std::set<std::string> evacuated_zones;
+    peer_table peers;
+
+    std::unordered_map<std::string, workspace_use> workspaces;
+    std::unordered_map<std::string, service_learning> services;
+    std::unordered_map<std::string, split_state> splits;
+    quarantine crashes;
+    // Requests that failed at a target lately, by its id: if it crashed, they are suspected.
+    std::unordered_map<std::string, std::vector<std::pair<std::uint64_t, instant>>> crash_suspects;
+    // Crash reports to pass on: request and death.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, instant> crash_reports;
+
+    std::size_t requests_in_progress = 0;
+    std::size_t open_caller_connections = 0;
+};
+
+// Returns the present instant.
+[[nodiscard]] inline instant now_of(const node_core& core) {
+    return core.time.now();
+}
+
+// Takes in changes of the store that the mirror has found to be new.
+void apply_changes(node_core& core, const std::vector<store_change>& changes);
+
+// Returns the use record of a workspace, made at first use or when its contract changed.
+[[nodiscard]] workspace_use& use_of(node_core& core, const workspace_rule& workspace);
+
+// Returns how many VMs share budgets, and how many of them report.
+[[nodiscard]] bucket_sharers sharers_of(const node_core& core);
+
+// Returns whether the VM may take new work.
+[[nodiscard]] inline bool is_accepting(const node_core& core) {
+    return core.phase == node_phase::serving;
+}
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/node_metrics.cpp
@@ -0,0 +1,53 @@
+#include "node_metrics.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace cassiaspan {
+
+namespace {
+
+void append_labelled(std::string& text, const char* name,
+                     const std::map<std::string, std::uint64_t>& counters) {
+    for (const auto& [outcome, count] : counters) {
+        text += fmt::format("cassiaspan_{}_total{{outcome=\"{}\"}} {}\n", name, outcome, count);
+    }
+}
+
+void append_plain(std::string& text, const char* name, std::uint64_t count) {
+    text += fmt::format("cassiaspan_{}_total {}\n", name, count);
+}
+
+} // namespace
+
+void observe(latency_histogram& histogram, milliseconds latency) {
+    const auto* const bound =
+        std::lower_bound(latency_bounds_ms.begin(), latency_bounds_ms.end(), latency.count());
+    ++histogram.counts.at(static_cast<std::size_t>(bound - latency_bounds_ms.begin()));
+    ++histogram.total;
+    histogram.sum_ms += latency.count();
+}
+
+std::string render(const node_metrics& metrics) {
+    std::string text;
+    append_labelled(text, "requests", metrics.requests_by_outcome);
+    append_labelled(text, "attempts", metrics.attempts_by_outcome);
+    append_labelled(text, "store_calls", metrics.store_calls_by_outcome);
+    append_plain(text, "target_connections", metrics.target_connections);
+    append_plain(text, "gossip_sent", metrics.gossip_sent);
+    append_plain(text, "gossip_received", metrics.gossip_received);
+    append_plain(text, "news_pulled", metrics.news_pulled);
+    std::uint64_t below = 0;
+    for (std::size_t i = 0; i < latency_bounds_ms.size(); ++i) {
+        below += metrics.answer_latency.counts.at(i);
+        text += fmt::format("cassiaspan_answer_latency_ms_bucket{{le=\"{}\"}} {}\n", latency_bounds_ms.at(i),
+                            below);
+    }
+    text += fmt::format("cassiaspan_answer_latency_ms_bucket{{le=\"+Inf\"}} {}\n",
+                        metrics.answer_latency.total);
+    text += fmt::format("cassiaspan_answer_latency_ms_sum {}\n", metrics.answer_latency.sum_ms);
+    text += fmt::format("cassiaspan_answer_latency_ms_count {}\n", metrics.answer_latency.total);
+    return text;
+}
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/node_metrics.h
@@ -0,0 +1,41 @@
+// Counters and latency histograms of one VM, rendered in the text form that metric collectors read.
+#pragma once
+
+#include "clock.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace cassiaspan {
+
+// Upper bounds of the histogram's buckets, milliseconds.
+constexpr std::array<std::int64_t, 12> latency_bounds_ms{5,   10,  25,   50,   100,  200,
+                                                         400, 800, 1200, 2000, 4000, 8000};
+
+struct latency_histogram {
+    std::array<std::uint64_t, latency_bounds_ms.size() + 1> counts{};
+    std::uint64_t total = 0;
+    std::int64_t sum_ms = 0;
+};
+
+struct node_metrics {
+    // By outcome: the status class of a target's answer, or the reason of a refusal.
+    std::map<std::string, std::uint64_t> requests_by_outcome;
+    std::map<std::string, std::uint64_t> attempts_by_outcome;
+    std::map<std::string, std::uint64_t> store_calls_by_outcome;
+    std::uint64_t target_connections = 0;
+    std::uint64_t gossip_sent = 0;
+    std::uint64_t gossip_received = 0;
+    std::uint64_t news_pulled = 0;
+    latency_histogram answer_latency;
+};
+
+// Counts one latency.
+void observe(latency_histogram& histogram, milliseconds latency);
+
+// Returns the metrics in the Prometheus text format.
+[[nodiscard]] std::string render(const node_metrics& metrics);
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/node_settings.h
@@ -0,0 +1,49 @@
+// The settings of one VM, as its platform gives them.
+#pragma once
+
+#include "address.h"
+#include "clock.h"
+#include "repeat_budget.h"
+
+#include <compare>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cassiaspan {
+
+struct node_settings {
+    std::string vm;
+    std::string availability_zone;
+    std::string region;
+    // Region of every availability zone of the deployment.
+    std::map<std::string, std::string> region_by_zone;
+
+    // Where callers, readiness checks and look-ups arrive.
+    socket_address caller_address;
+    socket_address ready_address;
+    socket_address directory_address;
+    // Where other VMs arrive: streams, and datagrams.
+    socket_address peer_address;
+    socket_address gossip_address;
+    // Peer addresses of a few VMs that may be up.
+    std::vector<socket_address> seeds;
+
+    socket_address store_address;
+    milliseconds store_min_lease{1000};
+
+    repeat_terms repeats;
+    // Part of a cold target's rate that may be used.
+    double cold_overage = 1;
+    // Time between SIGTERM and SIGKILL.
+    milliseconds stop_grace{6000};
+    // Longest time that a look-up may be cached.
+    seconds max_lookup_ttl{5};
+    // How many open files the process may have.
+    std::size_t max_descriptors = 1024;
+    // Metrics listener; port 0 means none.
+    socket_address metrics_address;
+    auto operator<=>(const node_settings&) const = default;
+};
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/peer_table.h
@@ -0,0 +1,56 @@
+// The other VMs, as their records in the store and their datagrams tell.
+#pragma once
+
+#include "address.h"
+#include "clock.h"
+#include "gossip.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cassiaspan {
+
+// A VM sends datagrams several times in this time, so that one that is silent for longer is down or cut off.
+constexpr milliseconds max_peer_silence{1500};
+// A silent VM still counts for shares of budgets until its record is gone and this time has passed.
+constexpr milliseconds peer_memory{10'000};
+
+struct peer_vm {
+    std::string name;
+    std::string availability_zone;
+    std::string region;
+    socket_address caller_address;
+    socket_address peer_address;
+    socket_address gossip_address;
+    std::uint64_t started_ms = 0;
+    // The store holds the VM's record.
+    bool recorded = false;
+
+    std::optional<instant> heard;
+    instant known_since;
+    std::uint64_t sequence = 0;
+    bool accepting = false;
+    std::uint64_t store_revision = 0;
+    // What the VM last reported, by the lower half of the hash of target and workspace.
+    std::unordered_map<std::uint32_t, std::uint32_t> target_uses;
+    std::unordered_map<std::uint32_t, std::uint64_t> workspace_uses;
+};
+
+struct peer_table {
+    std::map<std::string, peer_vm> by_name;
+};
+
+// Takes in a VM's record. Returns the VM, or nothing when the record is older than what is known or unreadable.
+peer_vm* note_record(peer_table& peers, const schema::VmRecord& record, instant now);
+
+// Returns whether the VM has been heard of lately.
+[[nodiscard]] bool is_heard(const peer_vm& peer, instant now);
+
+// Drops VMs that are neither recorded nor heard of.
+void expire_peers(peer_table& peers, instant now);
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/steering_node.cpp
@@ -0,0 +1,196 @@
+#include "steering_node.h"
+
+#include "caller_session.h"
+#include "gossip.h"
+#include "news_exchange.h"
+#include "small_http_service.h"
+#include "store_watcher.h"
+#include "target_connections.h"
+
+#include <algorithm>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+
+namespace cassiaspan {
+
+namespace {
+
+constexpr milliseconds housekeeping_interval{200};
+constexpr milliseconds log_flush_interval{100};
+// During a planned stop, work is taken for this part of the grace: callers learn within it that the VM leaves.
+constexpr int accepting_divisor = 3;
+constexpr milliseconds longest_accepting{2500};
+// The process ends this long before it would be killed.
+constexpr milliseconds stop_reserve{250};
+constexpr milliseconds stop_check{50};
+
+// All parts of a running VM.
+class running_node {
+public:
+    running_node(node_core& core_in, const std::function<std::unique_ptr<metadata_store>()>& make_store)
+        : core(core_in), callers(core_in.context), ready(core_in.context), directory(core_in.context),
+          peers(core_in.context), metrics(core_in.context), gossip(core_in), watch_connection(make_store()),
+          record_connection(make_store()), signals(core_in.context, SIGTERM, SIGINT, SIGHUP) {}
+
+    tl::expected<void, std::string> open() {
+        const node_settings& settings = this->core.settings;
+        const std::vector<std::pair<tcp::acceptor*, socket_address>> listeners{
+            {&this->callers, settings.caller_address},
+            {&this->ready, settings.ready_address},
+            {&this->directory, settings.directory_address},
+            {&this->peers, settings.peer_address},
+            {&this->metrics, settings.metrics_address}};
+        for (const auto& [acceptor, address] : listeners) {
+            if (address.port == 0) {
+                continue;
+            }
+            if (const error_code error = open_listener(*acceptor, address)) {
+                return tl::unexpected(render_address(address) + ": " + error.message());
+            }
+        }
+        if (const error_code error = this->gossip.open()) {
+            return tl::unexpected(render_address(settings.gossip_address) + ": " + error.message());
+        }
+        return {};
+    }
+
+    void start() {
+        this->spawn(accept_callers(this->core, this->callers));
+        this->serve_small(this->ready, answer_ready_check);
+        this->serve_small(this->directory, answer_lookup);
+        this->serve_small(this->metrics, answer_metrics);
+        this->spawn(serve_news(this->core, this->peers));
+        this->spawn(pull_news(this->core));
+        this->spawn(this->gossip.send_loop());
+        this->spawn(this->gossip.receive_loop());
+        this->spawn(watch_store(this->core, *this->watch_connection));
+        this->spawn(keep_vm_record(this->core, *this->record_connection));
+        this->spawn(this->keep_house());
+        this->spawn(this->flush_log());
+        this->spawn(this->await_signals());
+    }
+
+private:
+    void spawn(asio::awaitable<void> part) {
+        asio::co_spawn(this->core.context, std::move(part), [this](const std::exception_ptr& failure) {
+            if (failure) {
+                this->report(failure);
+            }
+        });
+    }
+
+    void report(const std::exception_ptr& failure) {
+        try {
+            std::rethrow_exception(failure);
+        } catch (const std::exception& error) {
+            this->core.log.write(now_of(this->core), node_event::internal_error,
+                                 log_fields().add("what", "a part has ended").add("why", error.what()));
+        }
+    }
+
+    template <class Answer> void serve_small(tcp::acceptor& acceptor, Answer answer) {
+        if (acceptor.is_open()) {
+            this->spawn(serve_small_requests(this->core, acceptor, [this, answer](const small_request& request) {
+                return answer(this->core, request);
+            }));
+        }
+    }
+
+    asio::awaitable<void> keep_house() {
+        for (;;) {
+            co_await sleep_for(this->core.context, housekeeping_interval);
+            const instant now = now_of(this->core);
+            this->core.targets.expire(now);
+            expire_peers(this->core.peers, now);
+            expire_suspicions(this->core.crashes, now);
+            std::erase_if(this->core.crash_reports, [now](const auto& entry) { return entry.second <= now; });
+            for (const auto& [id, target] : this->core.targets.all()) {
+                close_idle_connections(*target, now);
+            }
+            forget_silent_peers(this->core);
+        }
+    }
+
+    asio::awaitable<void> flush_log() {
+        for (;;) {
+            this->core.log.flush();
+            co_await sleep_for(this->core.context, log_flush_interval);
+        }
+    }
+
+    asio::awaitable<void> await_signals() {
+        for (;;) {
+            error_code error;
+            const int signal = co_await this->signals.async_wait(into(error));
+            if (signal != SIGHUP) {
+                break;
+            }
+            this->core.log.write(now_of(this->core), node_event::settings_reloaded, log_fields());
+        }
+        co_await this->stop();
+    }
+
+    // A planned stop: leave the look-ups, finish what comes meanwhile, refuse what comes late, end.
+    asio::awaitable<void> stop() {
+        const instant begun = now_of(this->core);
+        const milliseconds grace = this->core.settings.stop_grace;
+        this->core.phase = node_phase::leaving;
+        this->gossip.announce();
+        this->core.log.write(begun, node_event::stopping,
+                             log_fields().add("in_progress", this->core.requests_in_progress));
+        co_await sleep_for(this->core.context, std::min<milliseconds>(longest_accepting, grace / accepting_divisor));
+        this->core.phase = node_phase::refusing;
+        error_code ignored;
+        this->callers.close(ignored);
+        while (this->core.requests_in_progress > 0 && now_of(this->core) - begun < grace - stop_reserve) {
+            co_await sleep_for(this->core.context, stop_check);
+        }
+        // Answers that were just written leave with the process's sockets.
+        co_await sleep_for(this->core.context, stop_check);
+        this->core.log.write(now_of(this->core), node_event::stopped,
+                             log_fields().add("in_progress", this->core.requests_in_progress));
+        this->core.log.flush();
+        this->core.context.stop();
+    }
+
+    node_core& core;
+    tcp::acceptor callers;
+    tcp::acceptor ready;
+    tcp::acceptor directory;
+    tcp::acceptor peers;
+    tcp::acceptor metrics;
+    gossip_socket gossip;
+    std::unique_ptr<metadata_store> watch_connection;
+    std::unique_ptr<metadata_store> record_connection;
+    asio::signal_set signals;
+};
+
+std::uint64_t unix_milliseconds() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
+}
+
+} // namespace
+
+tl::expected<void, std::string>
+run_node(asio::io_context& context, const clock& time, const node_settings& settings,
+         const platform_adapter& platform, const std::function<std::unique_ptr<metadata_store>()>& make_store,
+         node_log& log) {
+    std::signal(SIGPIPE, SIG_IGN);
+    node_core core(context, time, settings, platform, log);
+    core.started_ms = unix_milliseconds();
+    running_node node(core, make_store);
+    if (const auto opened = node.open(); !opened) {
+        return opened;
+    }
+    log.write(now_of(core), node_event::started,
+              log_fields()
+                  .add("callers", render_address(settings.caller_address))
+                  .add("zone", settings.availability_zone)
+                  .add("region", settings.region));
+    node.start();
+    context.run();
+    return {};
+}
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/target_attempt.h
@@ -0,0 +1,59 @@
+// Sends a request to one target and reads the answer.
+#pragma once
+
+#include "node_core.h"
+#include "repeat_rules.h"
+#include "request_control.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace cassiaspan {
+
+// Reads the part of a caller's body that was not buffered. Fills `chunk`; an empty one ends the body. False when
+// the caller's connection failed.
+using body_source = std::function<asio::awaitable<bool>(std::string& chunk)>;
+
+// Takes an answer that is too large to be buffered, piece by piece.
+struct answer_sink {
+    // Sends the head; `length` is nothing where the target does not tell it.
+    std::function<asio::awaitable<bool>(const http::response_header<>& head,
+                                        std::optional<std::uint64_t> length)>
+        begin;
+    std::function<asio::awaitable<bool>(const char* data, std::size_t size)> write;
+    // Ends the answer. One that is not whole must not look complete.
+    std::function<asio::awaitable<void>(bool whole)> finish;
+};
+
+// What is sent to a target.
+struct outgoing_request {
+    http::request_header<> head;
+    std::string body;
+    // Where the rest of the body comes from, when `body` is not all.
+    body_source rest;
+    // Length of the whole body; nothing when it is only known at its end.
+    std::optional<std::uint64_t> length;
+    std::string id;
+    bool may_repeat = false;
+};
+
+// What came of an attempt.
+struct attempt_result {
+    attempt_end end = attempt_end::unreachable;
+    http::response_header<> head;
+    std::string body;
+    // The answer has been handed to the sink.
+    bool streamed = false;
+    // The connection to the target was an old one that ended before anything came back.
+    bool stale_connection = false;
+    milliseconds latency{};
+    std::string detail;
+};
+
+// Runs one attempt. The target's loads and health are brought up to date.
+asio::awaitable<attempt_result> run_attempt(node_core& core, target_ptr target,
+                                            const outgoing_request& request, control_ptr control,
+                                            const answer_sink& sink);
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/target_connections.cpp
@@ -0,0 +1,117 @@
+#include "target_connections.h"
+
+#include <algorithm>
+#include <sys/socket.h>
+
+namespace cassiaspan {
+
+namespace {
+
+// Idle time after which a kept connection is closed, where the target does not tell its own.
+constexpr milliseconds default_keep_alive{5000};
+// Part of the target's own idle time that is used.
+constexpr int keep_alive_divisor = 2;
+// Silence of a target's machine, counted from the first unacknowledged byte, that ends a connection.
+constexpr milliseconds target_silence{1200};
+// Longest time for opening a connection while the way to the target is unknown.
+constexpr milliseconds unknown_connect_timeout{500};
+constexpr milliseconds min_connect_timeout{200};
+constexpr int round_trips_to_connect = 5;
+constexpr std::size_t min_connections = 4;
+
+milliseconds connect_timeout(const known_target& target) {
+    if (target.health.round_trip == milliseconds(0)) {
+        return unknown_connect_timeout;
+    }
+    return std::max(min_connect_timeout, target.health.round_trip * round_trips_to_connect);
+}
+
+// A sound idle connection has nothing to read: neither an end nor bytes that belong to no request.
+bool is_silent(tcp::socket& socket) {
+    char byte = 0;
+    const ssize_t count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+milliseconds usable_idle_time(const target_connection& connection) {
+    return connection.keep_alive == milliseconds(0) ? default_keep_alive
+                                                    : connection.keep_alive / keep_alive_divisor;
+}
+
+void drop_connection(known_target& target) {
+    target.open_connections -= target.open_connections > 0 ? 1 : 0;
+}
+
+} // namespace
+
+std::unique_ptr<target_connection> take_idle_connection(known_target& target, instant now,
+                                                        milliseconds max_idle) {
+    while (!target.idle_connections.empty()) {
+        std::unique_ptr<target_connection> connection = std::move(target.idle_connections.back());
+        target.idle_connections.pop_back();
+        const auto idle = now - connection->last_used;
+        if (idle <= std::min(max_idle, usable_idle_time(*connection)) && is_silent(connection->socket)) {
+            return connection;
+        }
+        drop_connection(target);
+    }
+    return nullptr;
+}
+
+asio::awaitable<std::unique_ptr<target_connection>> open_connection(node_core& core, target_ptr target,
+                                                                    control_ptr control) {
+    auto connection = std::make_unique<target_connection>(core.context);
+    tcp::socket& socket = connection->socket;
+    const instant begun = now_of(core);
+    auto timer = std::make_shared<asio::steady_timer>(core.context);
+    auto timed_out = std::make_shared<bool>(false);
+    timer->expires_after(connect_timeout(*target));
+    timer->async_wait([timer, timed_out, control](const error_code& error) {
+        if (!error) {
+            *timed_out = true;
+            interrupt(*control);
+        }
+    });
+    ++target->open_connections;
+    ++core.metrics.target_connections;
+    control->active = &socket;
+    error_code error;
+    co_await socket.async_connect(tcp_endpoint(target->info.address), into(error));
+    control->active = nullptr;
+    timer->cancel();
+    if (error || *timed_out || is_interrupted(*control)) {
+        drop_connection(*target);
+        co_return nullptr;
+    }
+    set_stream_options(socket, target_silence);
+    note_connect_time(target->health, std::chrono::ceil<milliseconds>(now_of(core) - begun));
+    co_return connection;
+}
+
+void keep_connection(known_target& target, std::unique_ptr<target_connection> connection, instant now) {
+    connection->last_used = now;
+    connection->buffer.shrink_to_fit();
+    target.idle_connections.push_back(std::move(connection));
+}
+
+void close_idle_connections(known_target& target, instant now) {
+    auto& idle = target.idle_connections;
+    const auto is_old = [now](const std::unique_ptr<target_connection>& connection) {
+        return now - connection->last_used > usable_idle_time(*connection);
+    };
+    const auto first = std::remove_if(idle.begin(), idle.end(), is_old);
+    target.open_connections -=
+        std::min<std::size_t>(target.open_connections, static_cast<std::size_t>(idle.end() - first));
+    idle.erase(first, idle.end());
+}
+
+std::size_t connection_limit(const node_core& core, const known_target& target) {
+    const service_rule* service =
+        core.config ? core.config->find_service(target.info.service) : nullptr;
+    if (service == nullptr || service->max_connections == 0) {
+        return core.settings.max_descriptors;
+    }
+    return std::max(min_connections, service->max_connections / sharers_of(core).total);
+}
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/target_selection.cpp
@@ -0,0 +1,95 @@
+#include "target_selection.h"
+
+#include "placement.h"
+#include "stable_hash.h"
+
+#include <algorithm>
+
+namespace cassiaspan {
+
+namespace {
+
+// A round trip that is assumed until one was measured, within and between regions.
+constexpr milliseconds near_round_trip{2};
+constexpr milliseconds far_round_trip{60};
+
+bool is_usable(const node_core& core, const request_plan& plan, const known_target& target, instant now) {
+    const std::vector<std::string> any;
+    const auto& workspace_regions = plan.workspace != nullptr ? plan.workspace->allowed_regions : any;
+    return !target.info.draining && !(target.removed_at && *target.removed_at <= now) &&
+           core.evacuated_zones.count(target.info.availability_zone) == 0 && !is_blocked(target.health, now) &&
+           is_region_allowed(plan.route->allowed_regions, workspace_regions, target.info.region);
+}
+
+bool is_cold(const known_target& target, instant now) {
+    return now < target.cold_until || target.may_be_restarted;
+}
+
+double cold_rate(const node_core& core, const request_plan& plan) {
+    const service_rule* rule = plan.config->find_service(plan.service);
+    return rule == nullptr ? 0 : rule->cold_requests_per_second * core.settings.cold_overage;
+}
+
+// Returns whether the pace of a cold target allows a request now.
+bool cold_allows(node_core& core, const request_plan& plan, known_target& target, instant now) {
+    const double rate = cold_rate(core, plan);
+    if (!is_cold(target, now) || rate <= 0) {
+        return true;
+    }
+    constexpr double hash_range = 4294967296.0;
+    const double phase =
+        static_cast<double>(low_half(stable_hash(core.settings.vm, target.identity))) / hash_range;
+    return may_send_cold(target.cold, rate, sharers_of(core).total, phase, now);
+}
+
+placement_candidate describe(const node_core& core, const known_target& target, milliseconds usual,
+                             instant now) {
+    const bool near = target.info.region == core.settings.region;
+    placement_candidate candidate;
+    candidate.identity = target.identity;
+    candidate.load = estimate_load(target, now);
+    candidate.slots = static_cast<double>(std::max<std::size_t>(target.info.slots, 1));
+    candidate.service_time = target.health.service_time == milliseconds(0) ? usual : target.health.service_time;
+    candidate.round_trip = target.health.round_trip != milliseconds(0) ? target.health.round_trip
+                           : near                                      ? near_round_trip
+                                                                       : far_round_trip;
+    candidate.near = near;
+    candidate.doubtful = is_doubtful(target.health, usual);
+    return candidate;
+}
+
+} // namespace
+
+target_selection select_target(node_core& core, const request_plan& plan,
+                               const std::vector<target_ptr>& tried) {
+    const instant now = now_of(core);
+    const service_learning& learned = core.services[plan.service];
+    const milliseconds usual =
+        learned.service_time == milliseconds(0) ? unknown_service_time : learned.service_time;
+    std::vector<target_ptr> targets;
+    std::vector<placement_candidate> candidates;
+    bool any_usable = false;
+    for (const target_ptr& target : core.targets.of_service(plan.service)) {
+        if (!is_usable(core, plan, *target, now) ||
+            std::find(tried.begin(), tried.end(), target) != tried.end()) {
+            continue;
+        }
+        any_usable = true;
+        if (cold_allows(core, plan, *target, now)) {
+            targets.push_back(target);
+            candidates.push_back(describe(core, *target, usual, now));
+        }
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(plan.objective_at - now);
+    const placement placed = place_request(candidates, {plan.affinity, std::max(left, milliseconds(0))});
+    if (!placed.index) {
+        return {nullptr, placed.expected_finish, !any_usable};
+    }
+    const target_ptr& chosen = targets[*placed.index];
+    if (is_cold(*chosen, now)) {
+        note_sent_cold(chosen->cold, cold_rate(core, plan), sharers_of(core).total, now);
+    }
+    return {chosen, placed.expected_finish, false};
+}
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/target_selection.h
@@ -0,0 +1,24 @@
+// Chooses the target of a request from what the VM knows at the moment: filters the targets that may be used
+// and asks the placement policy.
+#pragma once
+
+#include "node_core.h"
+#include "request_plan.h"
+
+#include <vector>
+
+namespace cassiaspan {
+
+// A target, or how long it will take until one may have room.
+struct target_selection {
+    target_ptr target;
+    milliseconds expected_finish{};
+    // No target may be used at all: none is known, or the regions are not allowed.
+    bool none_usable = false;
+};
+
+// Chooses a target that is not among `tried`.
+[[nodiscard]] target_selection select_target(node_core& core, const request_plan& plan,
+                                             const std::vector<target_ptr>& tried);
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/target_table.cpp
@@ -0,0 +1,101 @@
+#include "target_table.h"
+
+#include "stable_hash.h"
+
+#include <algorithm>
+
+namespace cassiaspan {
+
+namespace {
+
+// A report older than this says less than the VMs' own counts.
+constexpr milliseconds max_report_age{250};
+
+const std::vector<target_ptr> no_targets;
+
+bool is_other_incarnation(const target_info& known, const target_info& fresh) {
+    return known.started_ms != fresh.started_ms || known.address != fresh.address ||
+           known.service != fresh.service;
+}
+
+} // namespace
+
+bool target_table::update(const target_info& info, instant now) {
+    const auto found = this->by_id.find(info.id);
+    if (found != this->by_id.end() && is_other_incarnation(found->second->info, info)) {
+        this->drop(info.id);
+    }
+    const auto known = this->by_id.find(info.id);
+    const bool is_new = known == this->by_id.end();
+    target_ptr target = is_new ? std::make_shared<known_target>() : known->second;
+    target_info before = target->info;
+    before.cold_remaining = info.cold_remaining;
+    const bool changed = is_new || target->removed_at || before != info;
+    target->info = info;
+    target->identity = stable_hash(info.id);
+    target->removed_at.reset();
+    if (info.cold_remaining > milliseconds(0)) {
+        target->cold_until = std::max(target->cold_until, now + info.cold_remaining);
+    }
+    if (is_new) {
+        this->link(target);
+    }
+    return changed;
+}
+
+void target_table::link(const target_ptr& target) {
+    this->by_id[target->info.id] = target;
+    this->by_service[target->info.service].push_back(target);
+    this->by_hash[low_half(target->identity)] = target;
+}
+
+void target_table::remove(const std::string& id, instant when) {
+    const auto found = this->by_id.find(id);
+    if (found != this->by_id.end() && !found->second->removed_at) {
+        found->second->removed_at = when;
+    }
+}
+
+void target_table::expire(instant now) {
+    std::vector<std::string> gone;
+    for (const auto& [id, target] : this->by_id) {
+        if (target->removed_at && *target->removed_at <= now) {
+            gone.push_back(id);
+        }
+    }
+    for (const std::string& id : gone) {
+        this->drop(id);
+    }
+}
+
+void target_table::drop(const std::string& id) {
+    const auto found = this->by_id.find(id);
+    const target_ptr target = found->second;
+    this->by_id.erase(found);
+    this->by_hash.erase(low_half(target->identity));
+    std::vector<target_ptr>& peers = this->by_service[target->info.service];
+    peers.erase(std::remove(peers.begin(), peers.end(), target), peers.end());
+    target->idle_connections.clear();
+}
+
+const std::vector<target_ptr>& target_table::of_service(const std::string& service) const {
+    const auto found = this->by_service.find(service);
+    return found == this->by_service.end() ? no_targets : found->second;
+}
+
+target_ptr target_table::find_by_hash(std::uint32_t identity_low) const {
+    const auto found = this->by_hash.find(identity_low);
+    return found == this->by_hash.end() ? nullptr : found->second;
+}
+
+double estimate_load(const known_target& target, instant now) {
+    const double counted = static_cast<double>(target.in_flight + target.peers_in_flight);
+    if (!target.reported || now - target.reported->at > max_report_age) {
+        return counted;
+    }
+    const double sent_since =
+        static_cast<double>(target.in_flight) - static_cast<double>(target.reported->own_in_flight);
+    return std::max(counted, target.reported->requests + std::max(0.0, sent_since));
+}
+
+} // namespace cassiaspan
