--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -277,8 +277,8 @@
         streaming_writer{state, request.head.version(), {}, std::nullopt});
     body_source rest = request.has_more_body ? make_rest(state, parser) : body_source();
     ++core.requests_in_progress;
-    forward_result result =
-        co_await forward_request(core, request, plan, std::move(rest), control, make_sink(writer));
+    const answer_sink sink = make_sink(writer);
+    forward_result result = co_await forward_request(core, request, plan, std::move(rest), control, sink);
     --core.requests_in_progress;
     control->finished = true;
     control->timer.cancel();
@@ -326,7 +326,8 @@
     }
     if (status != 0) {
         state.keep_alive = false;
-        co_await write_local(state, {status, "malformed_request", {}}, 11, "");
+        const local_answer answer{status, "malformed_request", {}};
+        co_await write_local(state, answer, 11, std::string());
     }
     co_return false;
 }
@@ -336,7 +337,8 @@
     request_parser parser;
     caller_request request;
     request.arrived = now_of(state.core);
-    if (!co_await read_head(state, parser)) {
+    const bool has_head = co_await read_head(state, parser);
+    if (!has_head) {
         co_return false;
     }
     request.head = parser.get().base();
@@ -354,7 +356,8 @@
     if (body_error) {
         if (body_error == http::error::body_limit) {
             state.keep_alive = false;
-            co_await write_local(state, {413, "body_too_large", {}}, request.head.version(), request.id);
+            const local_answer answer{413, "body_too_large", {}};
+            co_await write_local(state, answer, request.head.version(), request.id);
         }
         co_return false;
     }
@@ -392,7 +395,10 @@
     caller_connection_state state(core, std::move(socket));
     bool good = true;
     while (good && state.keep_alive) {
-        good = co_await await_request(state) && co_await serve_request(state);
+        good = co_await await_request(state);
+        if (good) {
+            good = co_await serve_request(state);
+        }
         state.buffer.shrink_to_fit();
     }
     if (good) {
--- a/packages/proxy/news_exchange.cpp
+++ b/packages/proxy/news_exchange.cpp
@@ -67,7 +67,10 @@
     });
     bool good = true;
     while (good) {
-        good = co_await receive(*socket, *session) && co_await flush(*socket, *session);
+        good = co_await receive(*socket, *session);
+        if (good) {
+            good = co_await flush(*socket, *session);
+        }
     }
     timer->cancel();
 }
@@ -110,7 +113,10 @@
             });
         bool good = session->submit_request({news_code, std::to_string(core.mirror.revision)}) >= 0;
         while (good && !answered) {
-            good = co_await flush(*socket, *session) && co_await receive(*socket, *session);
+            good = co_await flush(*socket, *session);
+            if (good) {
+                good = co_await receive(*socket, *session);
+            }
         }
     }
     timer->cancel();
--- a/packages/proxy/store_watcher.cpp
+++ b/packages/proxy/store_watcher.cpp
@@ -104,7 +104,8 @@
 asio::awaitable<void> watch_store(node_core& core, metadata_store& store) {
     milliseconds wait = first_retry;
     for (;;) {
-        if (!co_await read_everything(core, store)) {
+        const bool complete = co_await read_everything(core, store);
+        if (!complete) {
             co_await back_off(core, wait);
             continue;
         }
@@ -134,9 +135,12 @@
         }
         if (lease == 0) {
             const auto granted = co_await store.grant_lease(std::max(record_lease, core.settings.store_min_lease));
-            const auto written =
-                granted ? co_await store.put(key, make_vm_record(core).SerializeAsString(), granted->id)
-                        : tl::unexpected(granted.error());
+            bool written = false;
+            if (granted) {
+                std::string record = make_vm_record(core).SerializeAsString();
+                const auto put = co_await store.put(key, std::move(record), granted->id);
+                written = put.has_value();
+            }
             if (!written) {
                 co_await back_off(core, wait);
                 continue;
@@ -147,7 +151,11 @@
         renew_at = now_of(core) + record_renewal;
     }
     if (lease != 0) {
-        static_cast<void>(co_await store.end_lease(lease));
+        const auto ended = co_await store.end_lease(lease);
+        if (!ended) {
+            core.log.write(now_of(core), node_event::store_lost,
+                           log_fields().add("call", "end_lease").add("why", to_string(ended.error())));
+        }
     }
 }
 
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -58,7 +58,9 @@
         body.data = chunk.data();
         body.size = chunk.size();
         body.more = !chunk.empty();
-        good = good && co_await write_piece(socket, writer);
+        if (good) {
+            good = co_await write_piece(socket, writer);
+        }
     }
     writer.failed = !good;
     writer.done = true;
@@ -193,7 +195,8 @@
             }
             // The late or second answer of another request: ours may still follow.
             skipped = true;
-            if (!co_await this->skip_body(parser)) {
+            const bool is_whole = co_await this->skip_body(parser);
+            if (!is_whole) {
                 break;
             }
         }
@@ -210,9 +213,13 @@
         result.head = parser.get().base();
         result.end = classify(this->core.platform.headers(), result.head);
         note_statements(this->core, this->target, result.head);
+        bool is_whole = true;
         if (has_no_body(parser, this->request.head.method())) {
             parser.skip(true);
-        } else if (!co_await this->read_body(parser, result, result.end == attempt_end::answered)) {
+        } else {
+            is_whole = co_await this->read_body(parser, result, result.end == attempt_end::answered);
+        }
+        if (!is_whole) {
             result.end = attempt_end::failed;
             result.detail = "answer broke off";
             co_return;
@@ -243,7 +250,8 @@
                 co_return false;
             }
             if (streaming) {
-                if (!co_await this->sink.write(piece.data(), count)) {
+                const bool written = co_await this->sink.write(piece.data(), count);
+                if (!written) {
                     co_await this->sink.finish(false);
                     co_return false;
                 }
@@ -253,7 +261,8 @@
             if (deliver && result.body.size() > max_buffered_answer && !parser.is_done()) {
                 streaming = true;
                 result.streamed = true;
-                if (!co_await this->start_streaming(parser, result)) {
+                const bool started = co_await this->start_streaming(parser, result);
+                if (!started) {
                     co_return false;
                 }
             }
@@ -269,8 +278,10 @@
         if (const auto told = parser.content_length()) {
             length = *told;
         }
-        const bool good = co_await this->sink.begin(result.head, length) &&
-                          co_await this->sink.write(result.body.data(), result.body.size());
+        bool good = co_await this->sink.begin(result.head, length);
+        if (good) {
+            good = co_await this->sink.write(result.body.data(), result.body.size());
+        }
         result.body.clear();
         if (!good) {
             co_await this->sink.finish(false);
