Place requests by expected finish, and keep each key on few targets

Ruled out: too few slots (126 slots x 1/144 ms = 875/s against 405/s asked). Conclusion: a cold run is worth its slots only where there is room to spare.

--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+// Part of a target's slots that must be free for a request that the target is not warm for: such a request
+// takes the slots of several others.
+constexpr double spare_part = 0.3;
+
 // Finalizer of splitmix64 (Steele, Lea and Flood, 2014): every input bit changes half of the output bits.
 std::uint64_t mix(std::uint64_t value) {
     value += 0x9e3779b97f4a7c15U;
@@ -15,47 +19,67 @@
     return value ^ (value >> 31U);
 }
 
-bool has_free_slot(const placement_candidate& candidate) {
-    return candidate.load < candidate.slots;
-}
-
-// The order in which targets are asked: sound before doubtful, near before far, then by the key's weights, or
-// by relative load where there is no key.
-auto preference(const placement_candidate& candidate, const placement_request& request) {
-    const double by_load = request.key ? 0 : candidate.load / candidate.slots;
-    const std::uint64_t by_key = request.key ? mix(candidate.identity ^ mix(*request.key)) : 0;
-    return std::make_tuple(candidate.doubtful, !candidate.near, by_load, by_key, candidate.identity);
+// The key's order of all targets: sound before doubtful, near before far, then by the key's weights.
+auto order_of(const placement_candidate& candidate, const placement_request& request) {
+    return std::make_tuple(candidate.doubtful, !candidate.near,
+                           mix(candidate.identity ^ mix(request.key.value_or(0))), candidate.identity);
 }
 
-} // namespace
+// What sending the request to one target would mean, in milliseconds.
+struct prospect {
+    double finish = 0;
+    // The finish, and the time that other requests lose by it.
+    double cost = 0;
+    bool has_room = false;
+    bool has_free_slot = false;
+};
 
-milliseconds expected_finish(const placement_candidate& candidate) {
+prospect look_at(const placement_candidate& candidate, const placement_request& request, bool is_warm) {
+    const auto warm = static_cast<double>(request.warm_time.count());
+    const auto cold = static_cast<double>(std::max(request.warm_time, request.cold_time).count());
     const double waiting = std::max(0.0, candidate.load - candidate.slots + 1);
-    const auto wait = static_cast<double>(candidate.service_time.count()) * waiting / candidate.slots;
-    return candidate.service_time + candidate.round_trip + milliseconds(static_cast<std::int64_t>(wait));
+    const double own = (is_warm ? warm : cold) * candidate.slowness;
+    prospect seen;
+    seen.finish = static_cast<double>(candidate.round_trip.count()) + own +
+                  waiting / candidate.slots * warm * candidate.slowness;
+    seen.cost = seen.finish + (is_warm ? 0 : cold - warm);
+    seen.has_room = is_warm || candidate.load < candidate.slots * (1 - spare_part);
+    seen.has_free_slot = candidate.load < candidate.slots;
+    return seen;
 }
 
+} // namespace
+
 placement place_request(const std::vector<placement_candidate>& candidates,
                         const placement_request& request) {
-    std::optional<std::size_t> free;
-    std::optional<std::size_t> fastest;
+    if (candidates.empty()) {
+        return {};
+    }
+    const auto comes_first = [&](const placement_candidate& left, const placement_candidate& right) {
+        return order_of(left, request) < order_of(right, request);
+    };
+    const auto home = std::min_element(candidates.begin(), candidates.end(), comes_first);
+    std::optional<std::size_t> best;
+    prospect best_seen;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (has_free_slot(candidates[i]) &&
-            (!free || preference(candidates[i], request) < preference(candidates[*free], request))) {
-            free = i;
+        const bool is_home = home - candidates.begin() == static_cast<std::ptrdiff_t>(i);
+        const bool is_warm = !request.key || is_home || candidates[i].used_lately;
+        const prospect seen = look_at(candidates[i], request, is_warm);
+        if (!seen.has_room) {
+            continue;
         }
-        if (!fastest || expected_finish(candidates[i]) < expected_finish(candidates[*fastest])) {
-            fastest = i;
+        const auto rank = [&](std::size_t index, const prospect& each) {
+            return std::make_tuple(candidates[index].doubtful, each.cost, order_of(candidates[index], request));
+        };
+        if (!best || rank(i, seen) < rank(*best, best_seen)) {
+            best = i;
+            best_seen = seen;
         }
     }
-    if (free) {
-        return {free, expected_finish(candidates[*free])};
-    }
-    if (!fastest) {
-        return {};
-    }
-    const milliseconds finish = expected_finish(candidates[*fastest]);
-    return {finish <= request.patience ? fastest : std::nullopt, finish};
+    // The home is always among those with room.
+    const auto finish = milliseconds(static_cast<std::int64_t>(best_seen.finish));
+    const bool is_useful = best_seen.has_free_slot || finish <= request.patience;
+    return {is_useful ? best : std::nullopt, finish};
 }
 
 } // namespace cassiaspan
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -1,9 +1,10 @@
-// Chooses the target of a request by affinity: rendezvous hashing with bounded loads.
+// Chooses the target of a request by expected finish and by what the targets have handled lately.
 //
-// Every key has its own order of all targets (highest random weight; Thaler and Ravishankar, 1996). The first
-// target of that order with a free slot takes the request (the bound of Mirrokni, Thorup and Zadimoghaddam,
-// 2016), near regions first. A key that spills therefore always spills to the same target, which stays warm
-// for it.
+// Every key has its own order of all targets (highest random weight; Thaler and Ravishankar, 1996), near regions
+// first. The first of them is the key's home, which is presumed to be warm for it. A copy elsewhere costs a slow
+// run that pushes other objects out, so that under load copies breed more slow runs: a request goes to a target
+// that is not warm for it only when waiting at the warm ones takes longer than that run and the target has room
+// to spare. Keys thereby keep to few targets, also while a region is short of room.
 #pragma once
 
 #include "clock.h"
@@ -24,13 +25,15 @@
     double load = 0;
     // Requests that the target runs at the same time.
     double slots = 1;
-    // Time that one request takes there without waiting.
-    milliseconds service_time{};
+    // Time of a request here, relative to the usual of the service.
+    double slowness = 1;
     // Time that the way there and back takes.
     milliseconds round_trip{};
     // The target is in the region of the choosing VM.
     bool near = false;
-    // The target has been slow or failing and is only used when no other has room.
+    // The target has handled the request's object lately.
+    bool used_lately = false;
+    // The target has been failing and is only used when no other has room.
     bool doubtful = false;
     auto operator<=>(const placement_candidate&) const = default;
 };
@@ -39,6 +42,9 @@
 struct placement_request {
     // Hash of the affinity key; nothing where the route has no affinity.
     std::optional<std::uint64_t> key;
+    // Usual time of a request at a target that is warm for its object, and at one that is not.
+    milliseconds warm_time{};
+    milliseconds cold_time{};
     // Longest expected finish, counted from now, for which waiting at a target is of use.
     milliseconds patience{};
     auto operator<=>(const placement_request&) const = default;
@@ -51,10 +57,6 @@
     auto operator<=>(const placement&) const = default;
 };
 
-// Returns the time until a request sent now would be finished: the waiting time behind the requests that are
-// over the slots, the service time and the way.
-[[nodiscard]] milliseconds expected_finish(const placement_candidate& candidate);
-
 // Chooses among the candidates. Nothing is chosen when no target finishes within the patience.
 [[nodiscard]] placement place_request(const std::vector<placement_candidate>& candidates,
                                       const placement_request& request);
--- a/packages/policy/target_health.cpp
+++ b/packages/policy/target_health.cpp
@@ -29,13 +29,21 @@
 
 } // namespace
 
+milliseconds time_without_waiting(milliseconds latency, double load, double slots) {
+    // A request that had to wait took its service time times the rounds before it.
+    const double rounds = std::max(1.0, load / std::max(1.0, slots));
+    return milliseconds(std::lround(static_cast<double>(latency.count()) / rounds));
+}
+
+milliseconds average_time(milliseconds old, milliseconds fresh) {
+    return average(old, fresh, latency_weight);
+}
+
 void note_outcome(target_health& health, target_outcome outcome, milliseconds latency, double load,
                   double slots, instant now) {
     if (outcome == target_outcome::answered) {
-        // A request that had to wait took its service time times the rounds before it.
-        const double rounds = std::max(1.0, load / std::max(1.0, slots));
-        const auto own = milliseconds(std::lround(static_cast<double>(latency.count()) / rounds));
-        health.service_time = average(health.service_time, own, latency_weight);
+        const milliseconds own = time_without_waiting(latency, load, slots);
+        health.service_time = average_time(health.service_time, own);
     }
     const bool bad = outcome == target_outcome::unreachable || outcome == target_outcome::failed;
     health.failure_share = health.failure_share * (1 - failure_weight) + (bad ? failure_weight : 0);
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -222,6 +222,10 @@
     unsigned status = 0;
     std::string outcome;
     std::optional<milliseconds> retry_after;
+    // The target that answered, its load when the request was sent, and the time it took.
+    std::string target;
+    double load = 0;
+    milliseconds latency{};
 };
 
 void log_end(node_core& core, const caller_request& request, const request_plan* plan,
@@ -241,6 +245,13 @@
             .add("priority", plan->priority)
             .add("workspace", plan->workspace != nullptr ? plan->workspace->name : "");
     }
+    if (!end.target.empty()) {
+        const auto key = request.head[core.platform.headers().affinity_key];
+        fields.add("target", end.target)
+            .add("load", end.load)
+            .add("target_ms", end.latency.count())
+            .add("affinity", std::string_view(key.data(), key.size()));
+    }
     if (end.retry_after) {
         fields.add("retry_after_ms", end.retry_after->count());
     }
@@ -288,14 +299,14 @@
     bool good = false;
     request_end end;
     if (auto* answer = std::get_if<target_answer>(&result)) {
-        end = {answer->head.result_int(), "answered", {}};
+        end = {answer->head.result_int(), "answered", {}, answer->target, answer->load, answer->latency};
         good = co_await write_target_answer(state, std::move(*answer), request.head);
     } else if (const auto* local = std::get_if<local_answer>(&result)) {
-        end = {local->status, local->reason, local->retry_after};
+        end = {local->status, local->reason, local->retry_after, {}, 0, {}};
         good = co_await write_local(state, *local, request.head.version(), request.id);
     } else {
         good = std::get<nothing_to_write>(result).connection_is_good;
-        end = {0, good ? "answered" : control->caller_left ? "caller_left" : "broken_off", {}};
+        end = {0, good ? "answered" : control->caller_left ? "caller_left" : "broken_off", {}, {}, 0, {}};
     }
     log_end(core, request, &plan, end);
     co_return good;
@@ -367,7 +378,7 @@
         const local_answer& answer = plan.error();
         state.keep_alive = state.keep_alive && !request.has_more_body;
         const bool good = co_await write_local(state, answer, request.head.version(), request.id);
-        log_end(state.core, request, nullptr, {answer.status, answer.reason, answer.retry_after});
+        log_end(state.core, request, nullptr, {answer.status, answer.reason, answer.retry_after, {}, 0, {}});
         co_return good;
     }
     co_return co_await run_request(state, parser, request, *plan);
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -181,6 +181,9 @@
         }
         const target_ptr target = selection.target;
         address_to(core, outgoing, *target, plan);
+        if (plan.affinity) {
+            outgoing.is_warm = selection.was_warm;
+        }
         attempt_result result = co_await run_attempt(core, target, outgoing, control, sink);
         if (result.end != attempt_end::unreachable) {
             ++state.attempts;
@@ -192,7 +195,9 @@
             co_return nothing_to_write{result.end == attempt_end::answered};
         }
         if (result.end == attempt_end::answered) {
-            co_return target_answer{std::move(result.head), std::move(result.body)};
+            target_answer answer{std::move(result.head), std::move(result.body), target->info.id, result.load,
+                                 result.latency};
+            co_return answer;
         }
         log_attempt(core, request, *target, result);
         note_failure(core, plan, *target, result.end);
--- a/packages/proxy/forwarding.h
+++ b/packages/proxy/forwarding.h
@@ -13,6 +13,11 @@
 struct target_answer {
     http::response_header<> head;
     std::string body;
+    std::string target;
+    // Requests at the target when this one was sent, over all VMs, as far as this VM knew.
+    double load = 0;
+    // Time of the attempt that was answered.
+    milliseconds latency{};
 };
 
 // The answer has been written already, or there is nobody to write it to.
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -10,6 +10,7 @@
 #include "peer_table.h"
 #include "platform_adapter.h"
 #include "quarantine.h"
+#include "recent_uses.h"
 #include "repeat_budget.h"
 #include "steering_config.h"
 #include "store_mirror.h"
@@ -37,8 +38,11 @@
 
 // What is learned about a service as a whole.
 struct service_learning {
-    // Moving average of the time of one request without waiting.
+    // Moving averages of the time of one request without waiting: of all, of those at targets that had handled
+    // the object lately, and of those at others.
     milliseconds service_time{};
+    milliseconds warm_time{};
+    milliseconds cold_time{};
     repeat_budget repeats;
 };
 
@@ -85,6 +89,7 @@
     std::unordered_map<std::string, workspace_use> workspaces;
     std::unordered_map<std::string, service_learning> services;
     std::unordered_map<std::string, split_state> splits;
+    recent_uses uses;
     quarantine crashes;
     // Requests that failed at a target lately, by its id: if it crashed, they are suspected.
     std::unordered_map<std::string, std::vector<std::pair<std::uint64_t, instant>>> crash_suspects;
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -314,23 +314,25 @@
 
 // Brings beliefs up to date after an attempt.
 void learn(node_core& core, known_target& target, const request_control& control,
-           const attempt_result& result, double load) {
+           const std::optional<bool>& is_warm, const attempt_result& result) {
     if (control.caller_left || (control.timed_out && result.end == attempt_end::unreachable)) {
         // The end says nothing about the target.
         return;
     }
     const instant now = now_of(core);
     const auto slots = static_cast<double>(target.info.slots);
-    note_outcome(target.health, outcome_of(result.end), result.latency, load, slots, now);
+    note_outcome(target.health, outcome_of(result.end), result.latency, result.load, slots, now);
     if (result.end == attempt_end::unreachable) {
         target.may_be_restarted = true;
     }
     if (result.end == attempt_end::answered) {
         service_learning& learned = core.services[target.info.service];
-        target_health usual;
-        usual.service_time = learned.service_time;
-        note_outcome(usual, target_outcome::answered, result.latency, load, slots, now);
-        learned.service_time = usual.service_time;
+        const milliseconds own = time_without_waiting(result.latency, result.load, slots);
+        learned.service_time = average_time(learned.service_time, own);
+        if (is_warm) {
+            milliseconds& learned_time = *is_warm ? learned.warm_time : learned.cold_time;
+            learned_time = average_time(learned_time, own);
+        }
         if (target.may_be_restarted) {
             // The target is back after it was unreachable: it starts cold, also before its entry says so.
             target.may_be_restarted = false;
@@ -371,6 +373,7 @@
         target->open_connections -= target->open_connections > 0 ? 1 : 0;
     }
     --target->in_flight;
+    result.load = load;
     result.latency = std::chrono::ceil<milliseconds>(now_of(core) - begun);
     if (result.end != attempt_end::answered && is_interrupted(*control)) {
         // An attempt without a connection cannot have run, whatever ended it.
@@ -378,7 +381,7 @@
             result.end = control->caller_left ? attempt_end::caller_left : attempt_end::timed_out;
         }
     }
-    learn(core, *target, *control, result, load);
+    learn(core, *target, *control, request.is_warm, result);
     ++core.metrics.attempts_by_outcome[to_string(result.end)];
     co_return result;
 }
--- a/packages/proxy/target_attempt.h
+++ b/packages/proxy/target_attempt.h
@@ -36,6 +36,8 @@
     std::optional<std::uint64_t> length;
     std::string id;
     bool may_repeat = false;
+    // Whether the target has handled the request's object lately; nothing where the request names none.
+    std::optional<bool> is_warm;
 };
 
 // What came of an attempt.
@@ -48,6 +50,8 @@
     // The connection to the target was an old one that ended before anything came back.
     bool stale_connection = false;
     milliseconds latency{};
+    // Requests at the target when this one was sent, over all VMs, as far as this VM knew.
+    double load = 0;
     std::string detail;
 };
 
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -13,6 +13,10 @@
 constexpr milliseconds near_round_trip{2};
 constexpr milliseconds far_round_trip{60};
 
+// How far a target's own times are taken to differ from the usual of its service.
+constexpr double min_slowness = 0.5;
+constexpr double max_slowness = 8;
+
 bool is_usable(const node_core& core, const request_plan& plan, const known_target& target, instant now) {
     const std::vector<std::string> any;
     const auto& workspace_regions = plan.workspace != nullptr ? plan.workspace->allowed_regions : any;
@@ -43,13 +47,15 @@
 }
 
 placement_candidate describe(const node_core& core, const known_target& target, milliseconds usual,
-                             instant now) {
+                             const std::optional<std::uint64_t>& key, instant now) {
     const bool near = target.info.region == core.settings.region;
+    const double own = static_cast<double>(target.health.service_time.count());
     placement_candidate candidate;
     candidate.identity = target.identity;
     candidate.load = estimate_load(target, now);
     candidate.slots = static_cast<double>(std::max<std::size_t>(target.info.slots, 1));
-    candidate.service_time = target.health.service_time == milliseconds(0) ? usual : target.health.service_time;
+    candidate.slowness = own == 0 ? 1 : std::clamp(own / static_cast<double>(usual.count()), min_slowness, max_slowness);
+    candidate.used_lately = key && was_used(core.uses, target.identity, *key, warm_memory, now);
     candidate.round_trip = target.health.round_trip != milliseconds(0) ? target.health.round_trip
                            : near                                      ? near_round_trip
                                                                        : far_round_trip;
@@ -77,19 +83,25 @@
         any_usable = true;
         if (cold_allows(core, plan, *target, now)) {
             targets.push_back(target);
-            candidates.push_back(describe(core, *target, usual, now));
+            candidates.push_back(describe(core, *target, usual, plan.affinity, now));
         }
     }
     const auto left = std::chrono::duration_cast<milliseconds>(plan.objective_at - now);
-    const placement placed = place_request(candidates, {plan.affinity, std::max(left, milliseconds(0))});
+    const milliseconds warm = learned.warm_time == milliseconds(0) ? usual : learned.warm_time;
+    const placement placed = place_request(
+        candidates, {plan.affinity, warm, std::max(warm, learned.cold_time), std::max(left, milliseconds(0))});
     if (!placed.index) {
         return {nullptr, placed.expected_finish, !any_usable};
     }
     const target_ptr& chosen = targets[*placed.index];
+    const bool was_warm = plan.affinity && was_used(core.uses, chosen->identity, *plan.affinity, warm_memory, now);
+    if (plan.affinity) {
+        note_use(core.uses, chosen->identity, *plan.affinity, now);
+    }
     if (is_cold(*chosen, now)) {
         note_sent_cold(chosen->cold, cold_rate(core, plan), sharers_of(core).total, now);
     }
-    return {chosen, placed.expected_finish, false};
+    return {chosen, placed.expected_finish, false, was_warm};
 }
 
 } // namespace cassiaspan
--- a/packages/proxy/target_selection.h
+++ b/packages/proxy/target_selection.h
@@ -15,8 +15,13 @@
     milliseconds expected_finish{};
     // No target may be used at all: none is known, or the regions are not allowed.
     bool none_usable = false;
+    // This VM sent a request for the same object there within `warm_memory`.
+    bool was_warm = false;
 };
 
+// Targets keep what they have handled lately: this long after a request it is taken to be still there.
+constexpr milliseconds warm_memory{5000};
+
 // Chooses a target that is not among `tried`.
 [[nodiscard]] target_selection select_target(node_core& core, const request_plan& plan,
                                              const std::vector<target_ptr>& tried);
