--- a/packages/proxy/asio_types.cpp
+++ b/packages/proxy/asio_types.cpp
@@ -27,6 +27,10 @@
     if (!error) {
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     }
+    if (!error) {
+        // Accepted connections inherit the option.
+        acceptor.set_option(tcp::no_delay(true), error);
+    }
     if (!error) {
         acceptor.bind(endpoint, error);
     }
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t read_piece = 16 * 1024;
 // Time in which the rest of a closed connection's bytes is read, so that no reset overtakes the answer.
 constexpr milliseconds linger_time{500};
-// Silence of a caller's machine that ends its connection.
-constexpr milliseconds caller_silence{10'000};
 // The time that is told to callers for idle connections is this part of the limit.
 constexpr int seconds_kept_back = 1;
 // Answers whose end is a failure of the VM or a target.
@@ -43,34 +41,28 @@
 // Closes the socket when the caller takes too long.
 class socket_timeout {
 public:
-    socket_timeout(node_core& core, std::shared_ptr<tcp::socket> socket, milliseconds time)
-        : timer(std::make_shared<asio::steady_timer>(core.context)) {
-        this->timer->expires_after(time);
-        this->timer->async_wait([socket = std::move(socket), held = this->timer](const error_code& error) {
-            if (!error) {
-                error_code ignored;
-                socket->close(ignored);
-            }
-        });
-    }
-    ~socket_timeout() { this->timer->cancel(); }
-    socket_timeout(const socket_timeout&) = delete;
-    socket_timeout& operator=(const socket_timeout&) = delete;
-    socket_timeout(socket_timeout&&) = delete;
-    socket_timeout& operator=(socket_timeout&&) = delete;
+    socket_timeout(const caller_connection_state& state, milliseconds time)
+        : timeout(state.core.deadlines, now_of(state.core) + time, [socket = state.socket.get()] {
+              error_code ignored;
+              socket->close(ignored);
+          }) {}
 
 private:
-    std::shared_ptr<asio::steady_timer> timer;
+    deadline timeout;
 };
 
-// Waits for the first byte of a request. False when the connection has ended or was idle for too long.
+// Waits for the first bytes of a request. False when the connection has ended or was idle for too long.
 asio::awaitable<bool> await_request(caller_connection_state& state) {
+    // Most heads fit; an idle connection holds no more memory than this.
+    constexpr std::size_t first_read = 1024;
     if (state.buffer.size() > 0) {
         co_return true;
     }
-    const socket_timeout timeout(state.core, state.socket, limits_of(state.core).idle_timeout);
+    const socket_timeout timeout(state, limits_of(state.core).idle_timeout);
     error_code error;
-    co_await state.socket->async_wait(tcp::socket::wait_read, into(error));
+    const std::size_t count =
+        co_await state.socket->async_read_some(state.buffer.prepare(first_read), into(error));
+    state.buffer.commit(count);
     co_return !error;
 }
 
@@ -93,7 +85,7 @@
 }
 
 asio::awaitable<bool> write_response(caller_connection_state& state, local_response& response) {
-    const socket_timeout timeout(state.core, state.socket, limits_of(state.core).idle_timeout);
+    const socket_timeout timeout(state, limits_of(state.core).idle_timeout);
     error_code error;
     co_await http::async_write(*state.socket, response, into(error));
     co_return !error;
@@ -185,8 +177,7 @@
         this->message.body().data = const_cast<char*>(data);
         this->message.body().size = size;
         this->message.body().more = true;
-        const socket_timeout timeout(this->state.core, this->state.socket,
-                                     limits_of(this->state.core).idle_timeout);
+        const socket_timeout timeout(this->state, limits_of(this->state.core).idle_timeout);
         error_code error;
         co_await http::async_write(*this->state.socket, *this->serializer, into(error));
         co_return !error || error == http::error::need_buffer;
@@ -279,8 +270,8 @@
 asio::awaitable<bool> run_request(caller_connection_state& state, request_parser& parser,
                                   const caller_request& request, const request_plan& plan) {
     node_core& core = state.core;
-    auto control = std::make_shared<request_control>(core.context);
-    start_timeout(control, now_of(core), plan.give_up_at);
+    auto control = std::make_shared<request_control>();
+    const deadline timeout(core.deadlines, plan.give_up_at, [control = control.get()] { time_out(*control); });
     if (!request.has_more_body) {
         asio::co_spawn(core.context, watch_caller(state.socket, control), asio::detached);
     }
@@ -292,7 +283,6 @@
     forward_result result = co_await forward_request(core, request, plan, std::move(rest), control, sink);
     --core.requests_in_progress;
     control->finished = true;
-    control->timer.cancel();
     error_code ignored;
     state.socket->cancel(ignored);
     state.keep_alive = state.keep_alive && (!request.has_more_body || parser.is_done());
@@ -320,7 +310,7 @@
     parser.body_limit(limits.max_body_bytes);
     error_code error;
     {
-        const socket_timeout timeout(state.core, state.socket, limits.header_timeout);
+        const socket_timeout timeout(state, limits.header_timeout);
         co_await http::async_read_header(*state.socket, state.buffer, parser, into(error));
     }
     if (!error) {
@@ -347,7 +337,8 @@
 asio::awaitable<bool> serve_request(caller_connection_state& state) {
     request_parser parser;
     caller_request request;
-    request.arrived = now_of(state.core);
+    // The request has waited while the loop was late.
+    request.arrived = now_of(state.core) - state.core.loop_delay;
     const bool has_head = co_await read_head(state, parser);
     if (!has_head) {
         co_return false;
@@ -391,7 +382,7 @@
     if (error) {
         co_return;
     }
-    const socket_timeout timeout(state.core, state.socket, linger_time);
+    const socket_timeout timeout(state, linger_time);
     std::array<char, read_piece> rest; // NOLINT(cppcoreguidelines-pro-type-member-init): only skipped
     while (!error) {
         co_await state.socket->async_read_some(asio::buffer(rest), into(error));
@@ -401,7 +392,6 @@
 } // namespace
 
 asio::awaitable<void> serve_caller(node_core& core, std::shared_ptr<tcp::socket> socket) {
-    set_stream_options(*socket, caller_silence);
     ++core.open_caller_connections;
     caller_connection_state state(core, std::move(socket));
     bool good = true;
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "asio_types.h"
+#include "deadline_list.h"
 #include "fleet_bucket.h"
 #include "node_log.h"
 #include "node_metrics.h"
@@ -58,12 +59,10 @@
 };
 
 struct node_core {
-    node_core(asio::io_context& context_in, const clock& time_in, node_settings settings_in,
-              const platform_adapter& platform_in, node_log& log_in)
-        : context(context_in), time(time_in), settings(std::move(settings_in)), platform(platform_in),
-          log(log_in) {}
+    node_core(const clock& time_in, node_settings settings_in, const platform_adapter& platform_in,
+              node_log& log_in)
+        : time(time_in), settings(std::move(settings_in)), platform(platform_in), log(log_in) {}
 
-    asio::io_context& context;
     const clock& time;
     node_settings settings;
     const platform_adapter& platform;
@@ -96,8 +95,15 @@
     // Crash reports to pass on: request and death.
     std::map<std::pair<std::uint64_t, std::uint64_t>, instant> crash_reports;
 
+    deadline_list deadlines;
+    // How late the event loop has lately been: requests wait for about this time before they are read.
+    milliseconds loop_delay{};
+
     std::size_t requests_in_progress = 0;
     std::size_t open_caller_connections = 0;
+
+    // The event loop of the VM's one thread. Ends first: what still waits in it refers to the members above.
+    asio::io_context context{1};
 };
 
 // Returns the present instant.
--- a/packages/proxy/request_control.cpp
+++ b/packages/proxy/request_control.cpp
@@ -9,14 +9,11 @@
     }
 }
 
-void start_timeout(const control_ptr& control, instant now, instant when) {
-    control->timer.expires_after(when - now);
-    control->timer.async_wait([control](const error_code& error) {
-        if (!error && !control->finished) {
-            control->timed_out = true;
-            interrupt(*control);
-        }
-    });
+void time_out(request_control& control) {
+    if (!control.finished) {
+        control.timed_out = true;
+        interrupt(control);
+    }
 }
 
 asio::awaitable<void> watch_caller(std::shared_ptr<tcp::socket> socket, control_ptr control) {
--- a/packages/proxy/request_control.h
+++ b/packages/proxy/request_control.h
@@ -2,16 +2,14 @@
 #pragma once
 
 #include "asio_types.h"
+#include "deadline_list.h"
 
 #include <memory>
 
 namespace cassiaspan {
 
-// Shared by the request, its timer and the watch on its caller.
+// Shared by the request, its deadline and the watch on its caller.
 struct request_control {
-    explicit request_control(asio::io_context& context) : timer(context) {}
-
-    asio::steady_timer timer;
     bool timed_out = false;
     bool caller_left = false;
     bool finished = false;
@@ -29,8 +27,8 @@
 // Closes the target's socket, which ends whatever waits on it.
 void interrupt(request_control& control);
 
-// Interrupts the request at `when`.
-void start_timeout(const control_ptr& control, instant now, instant when);
+// Marks the request as out of time and interrupts it.
+void time_out(request_control& control);
 
 // Interrupts the request when the caller closes its connection. Bytes that arrive meanwhile stay unread.
 asio::awaitable<void> watch_caller(std::shared_ptr<tcp::socket> socket, control_ptr control);
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr milliseconds housekeeping_interval{200};
+constexpr milliseconds deadline_interval{25};
 constexpr milliseconds log_flush_interval{100};
 // During a planned stop, work is taken for this part of the grace: callers learn within it that the VM leaves.
 constexpr int accepting_divisor = 3;
@@ -24,13 +25,22 @@
 constexpr milliseconds stop_reserve{250};
 constexpr milliseconds stop_check{50};
 
+// Lateness below this is that of timers.
+constexpr milliseconds usual_lateness{5};
+
+void note_loop_delay(node_core& core, milliseconds lateness) {
+    const milliseconds delay = lateness > usual_lateness ? lateness : milliseconds(0);
+    // Rises at once, falls by half each time: requests that were held up are read over several turns.
+    core.loop_delay = std::max(delay, core.loop_delay / 2);
+}
+
 // All parts of a running VM.
 class running_node {
 public:
-    running_node(node_core& core_in, const std::function<std::unique_ptr<metadata_store>()>& make_store)
+    running_node(node_core& core_in, const store_factory& make_store)
         : core(core_in), callers(core_in.context), ready(core_in.context), directory(core_in.context),
-          peers(core_in.context), metrics(core_in.context), gossip(core_in), watch_connection(make_store()),
-          record_connection(make_store()), signals(core_in.context, SIGTERM, SIGINT, SIGHUP) {}
+          peers(core_in.context), metrics(core_in.context), gossip(core_in), watch_connection(make_store(core_in.context)),
+          record_connection(make_store(core_in.context)), signals(core_in.context, SIGTERM, SIGINT, SIGHUP) {}
 
     tl::expected<void, std::string> open() {
         const node_settings& settings = this->core.settings;
@@ -65,6 +75,7 @@
         this->spawn(this->gossip.receive_loop());
         this->spawn(watch_store(this->core, *this->watch_connection));
         this->spawn(keep_vm_record(this->core, *this->record_connection));
+        this->spawn(this->check_deadlines());
         this->spawn(this->keep_house());
         this->spawn(this->flush_log());
         this->spawn(this->await_signals());
@@ -96,6 +107,17 @@
         }
     }
 
+    // Checks deadlines, and measures by its own lateness how far the event loop is behind.
+    asio::awaitable<void> check_deadlines() {
+        for (;;) {
+            const instant due = now_of(this->core) + deadline_interval;
+            co_await sleep_for(this->core.context, deadline_interval);
+            const instant now = now_of(this->core);
+            note_loop_delay(this->core, std::chrono::floor<milliseconds>(now - due));
+            this->core.deadlines.run_passed(now);
+        }
+    }
+
     asio::awaitable<void> keep_house() {
         for (;;) {
             co_await sleep_for(this->core.context, housekeeping_interval);
@@ -173,11 +195,10 @@
 } // namespace
 
 tl::expected<void, std::string>
-run_node(asio::io_context& context, const clock& time, const node_settings& settings,
-         const platform_adapter& platform, const std::function<std::unique_ptr<metadata_store>()>& make_store,
-         node_log& log) {
+run_node(const clock& time, const node_settings& settings, const platform_adapter& platform,
+         const store_factory& make_store, node_log& log) {
     std::signal(SIGPIPE, SIG_IGN);
-    node_core core(context, time, settings, platform, log);
+    node_core core(time, settings, platform, log);
     core.started_ms = unix_milliseconds();
     running_node node(core, make_store);
     if (const auto opened = node.open(); !opened) {
@@ -189,7 +210,7 @@
                   .add("zone", settings.availability_zone)
                   .add("region", settings.region));
     node.start();
-    context.run();
+    core.context.run();
     return {};
 }
 
--- a/packages/proxy/steering_node.h
+++ b/packages/proxy/steering_node.h
@@ -5,11 +5,12 @@
 
 namespace cassiaspan {
 
-// Runs the VM until it is told to stop. `make_store` opens a connection to the store. Returns an error when an
-// address cannot be bound.
-[[nodiscard]] tl::expected<void, std::string>
-run_node(asio::io_context& context, const clock& time, const node_settings& settings,
-         const platform_adapter& platform, const std::function<std::unique_ptr<metadata_store>()>& make_store,
-         node_log& log);
+// Opens a connection to the store that works on the given event loop.
+using store_factory = std::function<std::unique_ptr<metadata_store>(asio::io_context&)>;
+
+// Runs the VM until it is told to stop. Returns an error when an address cannot be bound.
+[[nodiscard]] tl::expected<void, std::string> run_node(const clock& time, const node_settings& settings,
+                                                       const platform_adapter& platform,
+                                                       const store_factory& make_store, node_log& log);
 
 } // namespace cassiaspan
--- a/packages/proxy/target_connections.cpp
+++ b/packages/proxy/target_connections.cpp
@@ -63,14 +63,11 @@
     auto connection = std::make_unique<target_connection>(core.context);
     tcp::socket& socket = connection->socket;
     const instant begun = now_of(core);
-    auto timer = std::make_shared<asio::steady_timer>(core.context);
-    auto timed_out = std::make_shared<bool>(false);
-    timer->expires_after(connect_timeout(*target));
-    timer->async_wait([timer, timed_out, control](const error_code& error) {
-        if (!error) {
-            *timed_out = true;
-            interrupt(*control);
-        }
+    bool timed_out = false;
+    std::optional<deadline> timeout;
+    timeout.emplace(core.deadlines, begun + connect_timeout(*target), [&timed_out, &control] {
+        timed_out = true;
+        interrupt(*control);
     });
     ++target->open_connections;
     ++core.metrics.target_connections;
@@ -78,8 +75,8 @@
     error_code error;
     co_await socket.async_connect(tcp_endpoint(target->info.address), into(error));
     control->active = nullptr;
-    timer->cancel();
-    if (error || *timed_out || is_interrupted(*control)) {
+    timeout.reset();
+    if (error || timed_out || is_interrupted(*control)) {
         drop_connection(*target);
         co_return nullptr;
     }
