--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "caller_session.h"
 
+#include "connection_pressure.h"
 #include "forwarding.h"
 #include "request_plan.h"
 
@@ -32,12 +33,19 @@
     std::shared_ptr<tcp::socket> socket;
     boost::beast::flat_buffer buffer;
     bool keep_alive = true;
+    // How long the connection may stay idle, as the caller was told with the last answer.
+    std::optional<milliseconds> idle_timeout;
 };
 
 caller_limits limits_of(const node_core& core) {
     return core.config ? core.config->rules().limits : caller_limits{};
 }
 
+idle_terms idle_terms_of(const node_core& core) {
+    return choose_idle_terms(core.open_caller_connections, core.settings.max_descriptors,
+                             limits_of(core).idle_timeout);
+}
+
 // Closes the socket when the caller takes too long.
 class socket_timeout {
 public:
@@ -58,7 +66,7 @@
     if (state.buffer.size() > 0) {
         co_return true;
     }
-    const socket_timeout timeout(state, limits_of(state.core).idle_timeout);
+    const socket_timeout timeout(state, state.idle_timeout.value_or(limits_of(state.core).idle_timeout));
     error_code error;
     const std::size_t count =
         co_await state.socket->async_read_some(state.buffer.prepare(first_read), into(error));
@@ -91,10 +99,10 @@
     co_return !error;
 }
 
-void set_connection_fields(const caller_connection_state& state, http::response_header<>& head,
-                           bool keep_alive) {
-    if (keep_alive) {
-        const auto idle = std::chrono::floor<seconds>(limits_of(state.core).idle_timeout);
+void set_connection_fields(caller_connection_state& state, http::response_header<>& head) {
+    if (state.keep_alive) {
+        state.idle_timeout = idle_terms_of(state.core).idle_timeout;
+        const auto idle = std::chrono::floor<seconds>(*state.idle_timeout);
         head.set(http::field::keep_alive,
                  "timeout=" + std::to_string(std::max<std::int64_t>(1, idle.count() - seconds_kept_back)));
     }
@@ -114,8 +122,9 @@
     }
     response.body() = answer.reason + "\n";
     response.prepare_payload();
+    state.keep_alive = state.keep_alive && !idle_terms_of(state.core).close_after_refusal;
     response.keep_alive(state.keep_alive);
-    set_connection_fields(state, response.base(), state.keep_alive);
+    set_connection_fields(state, response.base());
     co_return co_await write_response(state, response);
 }
 
@@ -143,7 +152,7 @@
         response.content_length(response.body().size());
     }
     response.keep_alive(state.keep_alive);
-    set_connection_fields(state, response.base(), state.keep_alive);
+    set_connection_fields(state, response.base());
     co_return co_await write_response(state, response);
 }
 
@@ -229,7 +238,8 @@
         .add("outcome", end.outcome)
         .add("status", end.status)
         .add("took_ms", took.count())
-        .add("config", core.config ? core.config->rules().version : 0);
+        .add("config", core.config ? core.config->rules().version : 0)
+        .add("loop_delay_ms", core.loop_delay.count());
     if (plan != nullptr) {
         fields.add("service", plan->service)
             .add("route", plan->route->name)
