--- /dev/null
+++ b/packages/policy/region_shift.h
@@ -0,0 +1,47 @@
+// Limits how fast the requests that one VM takes move from one region to another: a region's share of them may
+// only grow by so much from one window of time to the next, upwards as well as back.
+#pragma once
+
+#include "clock.h"
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace cassiaspan {
+
+// How much of the requests may move, and the time over which shares are taken.
+struct shift_terms {
+    // Largest growth of a region's share from one window to the next; 0 means no limit.
+    double max_growth = 0;
+    milliseconds window{2000};
+    auto operator<=>(const shift_terms&) const = default;
+};
+
+// Two windows of counts are kept, in steps of a twentieth of a window.
+constexpr std::size_t shift_steps_per_window = 20;
+
+struct region_counts {
+    std::array<std::uint32_t, 2 * shift_steps_per_window> steps{};
+    auto operator<=>(const region_counts&) const = default;
+};
+
+// Where the requests of the last two windows were sent.
+struct region_shift {
+    std::map<std::string, region_counts> regions;
+    // The newest step, counted from the clock's beginning.
+    std::int64_t newest = 0;
+};
+
+// Notes that a request was sent to the region.
+void note_region(region_shift& shift, const shift_terms& terms, const std::string& region, instant now);
+
+// Returns whether one more request may be sent to the region now. While there are too few requests to speak of
+// shares, all regions are open.
+[[nodiscard]] bool may_grow(region_shift& shift, const shift_terms& terms, const std::string& region,
+                            instant now);
+
+} // namespace cassiaspan
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -89,6 +89,7 @@
     std::unordered_map<std::string, service_learning> services;
     std::unordered_map<std::string, split_state> splits;
     recent_uses uses;
+    region_shift shift;
     quarantine crashes;
     // Requests that failed at a target lately, by its id: if it crashed, they are suspected.
     std::unordered_map<std::string, std::vector<std::pair<std::uint64_t, instant>>> crash_suspects;
--- a/packages/proxy/node_settings.h
+++ b/packages/proxy/node_settings.h
@@ -3,6 +3,7 @@
 
 #include "address.h"
 #include "clock.h"
+#include "region_shift.h"
 #include "repeat_budget.h"
 
 #include <compare>
@@ -33,6 +34,8 @@
     milliseconds store_min_lease{1000};
 
     repeat_terms repeats;
+    // How fast requests may move between regions.
+    shift_terms shifts;
     // Part of a cold target's rate that may be used.
     double cold_overage = 1;
     // Time between SIGTERM and SIGKILL.
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -64,6 +64,22 @@
     return candidate;
 }
 
+// Drops targets of regions whose share of the requests may not grow now, unless no others are left.
+void keep_open_regions(node_core& core, std::vector<target_ptr>& targets, instant now) {
+    std::map<std::string, bool> is_open;
+    for (const target_ptr& target : targets) {
+        const auto [found, is_new] = is_open.try_emplace(target->info.region, false);
+        if (is_new) {
+            found->second = may_grow(core.shift, core.settings.shifts, target->info.region, now);
+        }
+    }
+    const bool any_open =
+        std::any_of(is_open.begin(), is_open.end(), [](const auto& region) { return region.second; });
+    if (any_open) {
+        std::erase_if(targets, [&](const target_ptr& target) { return !is_open[target->info.region]; });
+    }
+}
+
 } // namespace
 
 target_selection select_target(node_core& core, const request_plan& plan,
@@ -83,9 +99,12 @@
         any_usable = true;
         if (cold_allows(core, plan, *target, now)) {
             targets.push_back(target);
-            candidates.push_back(describe(core, *target, usual, plan.affinity, now));
         }
     }
+    keep_open_regions(core, targets, now);
+    for (const target_ptr& target : targets) {
+        candidates.push_back(describe(core, *target, usual, plan.affinity, now));
+    }
     const auto left = std::chrono::duration_cast<milliseconds>(plan.objective_at - now);
     const milliseconds warm = learned.warm_time == milliseconds(0) ? usual : learned.warm_time;
     const placement placed = place_request(
@@ -94,6 +113,7 @@
         return {nullptr, placed.expected_finish, !any_usable};
     }
     const target_ptr& chosen = targets[*placed.index];
+    note_region(core.shift, core.settings.shifts, chosen->info.region, now);
     const bool was_warm = plan.affinity && was_used(core.uses, chosen->identity, *plan.affinity, warm_memory, now);
     if (plan.affinity) {
         note_use(core.uses, chosen->identity, *plan.affinity, now);
