--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -59,13 +59,16 @@
         return order_of(left, request) < order_of(right, request);
     };
     const auto home = std::min_element(candidates.begin(), candidates.end(), comes_first);
+    const bool any_used = std::any_of(candidates.begin(), candidates.end(),
+                                      [](const placement_candidate& each) { return each.used_lately; });
+    const bool trust_home = request.explore || !any_used;
     std::optional<std::size_t> best;
     prospect best_seen;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const bool is_home = home - candidates.begin() == static_cast<std::ptrdiff_t>(i);
-        const bool is_warm = !request.key || is_home || candidates[i].used_lately;
+        const bool is_warm = !request.key || candidates[i].used_lately || (is_home && trust_home);
         const prospect seen = look_at(candidates[i], request, is_warm);
-        if (!seen.has_room) {
+        if (!seen.has_room && !is_home) {
             continue;
         }
         const auto rank = [&](std::size_t index, const prospect& each) {
--- a/packages/proxy/gossip.cpp
+++ b/packages/proxy/gossip.cpp
@@ -10,16 +10,26 @@
 // Time between datagrams to VMs of the own region: well below the time of a request.
 constexpr milliseconds near_interval{100};
 // Every so many rounds the VMs of other regions hear too.
-constexpr std::uint64_t far_rounds = 3;
+constexpr std::uint64_t far_rounds = 4;
+// Every so many rounds the datagrams also tell the addresses of the sender and of some others.
+constexpr std::uint64_t full_record_rounds = 20;
 // Records of other VMs in one datagram.
 constexpr std::size_t max_others = 3;
 constexpr std::size_t max_datagram = 60'000;
 
-void add_others(const node_core& core, schema::Gossip& gossip) {
+bool tells_addresses(const schema::Gossip& gossip) {
+    return !gossip.sender().gossip_address().empty();
+}
+
+// Adds the records of some VMs, others each time.
+void add_others(const node_core& core, schema::Gossip& gossip, std::uint64_t sequence) {
     const instant now = now_of(core);
-    std::size_t count = 0;
+    const std::size_t total = std::max<std::size_t>(core.peers.by_name.size(), 1);
+    const std::size_t first = sequence / full_record_rounds * max_others % total;
+    std::size_t index = 0;
     for (const auto& [name, peer] : core.peers.by_name) {
-        if (!is_heard(peer, now) || count++ >= max_others) {
+        const std::size_t turn = (index++ + total - first) % total;
+        if (turn >= max_others || !is_heard(peer, now)) {
             continue;
         }
         schema::VmRecord& record = *gossip.add_others();
@@ -92,7 +102,13 @@
 
 schema::Gossip make_gossip(const node_core& core, std::uint64_t sequence) {
     schema::Gossip gossip;
-    *gossip.mutable_sender() = make_vm_record(core);
+    if (sequence % full_record_rounds < far_rounds) {
+        *gossip.mutable_sender() = make_vm_record(core);
+    } else {
+        // The receivers know the rest from before.
+        gossip.mutable_sender()->set_name(core.settings.vm);
+        gossip.mutable_sender()->set_started_ms(core.started_ms);
+    }
     gossip.set_sequence(sequence);
     gossip.set_accepting(is_accepting(core));
     gossip.set_store_revision(core.mirror.revision);
@@ -135,7 +151,12 @@
         // The former incarnation's requests have ended with it.
         take_target_uses(core, known->second, {});
     }
-    peer_vm* peer = note_record(core.peers, gossip.sender(), now);
+    peer_vm* peer = nullptr;
+    if (tells_addresses(gossip)) {
+        peer = note_record(core.peers, gossip.sender(), now);
+    } else if (known != core.peers.by_name.end() && known->second.started_ms == gossip.sender().started_ms()) {
+        peer = &known->second;
+    }
     if (peer == nullptr || gossip.sequence() <= peer->sequence) {
         return false;
     }
@@ -205,8 +226,8 @@
         schema::Gossip gossip = make_gossip(this->core, ++this->sequence);
         const std::string near = gossip.SerializeAsString();
         const bool is_far_round = round % far_rounds == 0;
-        if (is_far_round) {
-            add_others(this->core, gossip);
+        if (is_far_round && tells_addresses(gossip)) {
+            add_others(this->core, gossip, this->sequence);
         }
         const std::string far = is_far_round ? gossip.SerializeAsString() : std::string();
         std::size_t heard = 0;
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -13,6 +13,10 @@
 constexpr milliseconds near_round_trip{2};
 constexpr milliseconds far_round_trip{60};
 
+// One request in so many goes to its key's home although another target is known to be warm.
+constexpr std::uint64_t exploring_share = 16;
+// A slow run is taken to be this many times longer until one was measured.
+constexpr int unknown_cold_factor = 3;
 // How far a target's own times are taken to differ from the usual of its service.
 constexpr double min_slowness = 0.5;
 constexpr double max_slowness = 8;
@@ -107,8 +111,10 @@
     }
     const auto left = std::chrono::duration_cast<milliseconds>(plan.objective_at - now);
     const milliseconds warm = learned.warm_time == milliseconds(0) ? usual : learned.warm_time;
-    const placement placed = place_request(
-        candidates, {plan.affinity, warm, std::max(warm, learned.cold_time), std::max(left, milliseconds(0))});
+    const milliseconds cold = learned.cold_time == milliseconds(0) ? warm * unknown_cold_factor : learned.cold_time;
+    const bool explore = core.random() % exploring_share == 0;
+    const placement placed =
+        place_request(candidates, {plan.affinity, warm, std::max(warm, cold), explore, std::max(left, milliseconds(0))});
     if (!placed.index) {
         return {nullptr, placed.expected_finish, !any_usable};
     }
