--- a/packages/policy/fleet_bucket.h
+++ b/packages/policy/fleet_bucket.h
@@ -1,6 +1,7 @@
 // A workspace's token bucket, replicated on every VM. Each VM takes its own tokens at once and those that other
 // VMs took as soon as they report them, so that the fleet as a whole stays within rate and burst; what was
-// taken beyond, while reports were on their way, is paid back before more is given.
+// taken beyond, while reports were on their way, is paid back before more is given. While tokens are scarce, a VM
+// also keeps to its part of the rate: otherwise all VMs would take the same token before they hear of each other.
 #pragma once
 
 #include "clock.h"
@@ -30,6 +31,11 @@
 struct fleet_bucket {
     double tokens = 0;
     instant refilled;
+    // Tokens per second that this VM and the others took lately.
+    double own_rate = 0;
+    double others_rate = 0;
+    // Tokens within this VM's own part of the rate.
+    double pace_tokens = 0;
     auto operator<=>(const fleet_bucket&) const = default;
 };
 
--- a/packages/proxy/gossip.cpp
+++ b/packages/proxy/gossip.cpp
@@ -86,6 +86,20 @@
     }
 }
 
+// Returns whether more of some contract was used since the last report than VMs elsewhere should be unaware of.
+bool is_report_urgent(const node_core& core, const std::unordered_map<std::uint32_t, std::uint64_t>& reported) {
+    // Part of the burst, divided by all VMs, that may be used unreported.
+    constexpr double unreported_part = 0.2;
+    const auto total = static_cast<double>(sharers_of(core).total);
+    return std::any_of(core.workspaces.begin(), core.workspaces.end(), [&](const auto& entry) {
+        const workspace_use& use = entry.second;
+        const auto before = reported.find(use.name_hash);
+        const std::uint64_t known = before == reported.end() ? 0 : before->second;
+        return use.contract.rate > 0 &&
+               static_cast<double>(use.admitted - known) * total > unreported_part * use.contract.burst;
+    });
+}
+
 } // namespace
 
 schema::VmRecord make_vm_record(const node_core& core) {
@@ -225,10 +239,15 @@
     for (std::uint64_t round = 0;; ++round) {
         schema::Gossip gossip = make_gossip(this->core, ++this->sequence);
         const std::string near = gossip.SerializeAsString();
-        const bool is_far_round = round % far_rounds == 0;
+        const bool is_far_round = round % far_rounds == 0 || is_report_urgent(this->core, this->reported_uses);
         if (is_far_round && tells_addresses(gossip)) {
             add_others(this->core, gossip, this->sequence);
         }
+        if (is_far_round) {
+            for (const schema::WorkspaceUse& use : gossip.workspace_uses()) {
+                this->reported_uses[use.workspace()] = use.admitted();
+            }
+        }
         const std::string far = is_far_round ? gossip.SerializeAsString() : std::string();
         std::size_t heard = 0;
         for (const auto& [name, peer] : this->core.peers.by_name) {
--- a/packages/proxy/gossip.h
+++ b/packages/proxy/gossip.h
@@ -28,6 +28,8 @@
     node_core& core;
     udp::socket socket;
     std::uint64_t sequence = 0;
+    // What VMs of other regions were last told of the use of contracts.
+    std::unordered_map<std::uint32_t, std::uint64_t> reported_uses;
 };
 
 // Returns this VM's own record.
