Close callers' connections with the answer once a stop has begun

Cause: the decision was made when the request was read, so that an answer after SIGTERM invited the caller to send more (found by the test 'a planned stop cuts no request'). Conclusion: decided where the answer is written.

--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -99,11 +99,15 @@
     co_return !error;
 }
 
-void set_connection_fields(caller_connection_state& state, http::response_header<>& head) {
+// Decides whether the connection outlives the answer, and tells the caller.
+template <class Response> void set_connection_fields(caller_connection_state& state, Response& response) {
+    // A stop may have begun since the request was read.
+    state.keep_alive = state.keep_alive && is_accepting(state.core);
+    response.keep_alive(state.keep_alive);
     if (state.keep_alive) {
         state.idle_timeout = idle_terms_of(state.core).idle_timeout;
         const auto idle = std::chrono::floor<seconds>(*state.idle_timeout);
-        head.set(http::field::keep_alive,
+        response.set(http::field::keep_alive,
                  "timeout=" + std::to_string(std::max<std::int64_t>(1, idle.count() - seconds_kept_back)));
     }
 }
@@ -123,8 +127,7 @@
     response.body() = answer.reason + "\n";
     response.prepare_payload();
     state.keep_alive = state.keep_alive && !idle_terms_of(state.core).close_after_refusal;
-    response.keep_alive(state.keep_alive);
-    set_connection_fields(state, response.base());
+    set_connection_fields(state, response);
     co_return co_await write_response(state, response);
 }
 
@@ -151,8 +154,7 @@
         response.body() = std::move(answer.body);
         response.content_length(response.body().size());
     }
-    response.keep_alive(state.keep_alive);
-    set_connection_fields(state, response.base());
+    set_connection_fields(state, response);
     co_return co_await write_response(state, response);
 }
 
@@ -173,7 +175,7 @@
         } else {
             this->state.keep_alive = false;
         }
-        this->message.keep_alive(this->state.keep_alive);
+        set_connection_fields(this->state, this->message);
         this->message.body().data = nullptr;
         this->message.body().more = true;
         this->serializer.emplace(this->message);
