--- a/packages/policy/connection_pressure.h
+++ b/packages/policy/connection_pressure.h
@@ -18,8 +18,8 @@
     auto operator<=>(const idle_terms&) const = default;
 };
 
-// Returns the terms while `open` of at most `limit` connections are open. `configured` is the idle timeout that
-// callers are promised while there is no shortage.
+// Returns the terms while `open` of at most `limit` connections are open. `configured` is the idle timeout
+// that callers are promised while there is no shortage.
 [[nodiscard]] idle_terms choose_idle_terms(std::size_t open, std::size_t limit, milliseconds configured);
 
 } // namespace cassiaspan
--- a/packages/policy/fleet_bucket.cpp
+++ b/packages/policy/fleet_bucket.cpp
@@ -42,7 +42,8 @@
     return made;
 }
 
-void refill(fleet_bucket& bucket, const bucket_contract& contract, const bucket_sharers& sharers, instant now) {
+void refill(fleet_bucket& bucket, const bucket_contract& contract, const bucket_sharers& sharers,
+            instant now) {
     const std::chrono::duration<double> passed = now - bucket.refilled;
     const double share = reporting_share(sharers);
     bucket.refilled = now;
--- a/packages/policy/fleet_bucket.h
+++ b/packages/policy/fleet_bucket.h
@@ -1,7 +1,8 @@
-// A workspace's token bucket, replicated on every VM. Each VM takes its own tokens at once and those that other
-// VMs took as soon as they report them, so that the fleet as a whole stays within rate and burst; what was
-// taken beyond, while reports were on their way, is paid back before more is given. While tokens are scarce, a VM
-// also keeps to its part of the rate: otherwise all VMs would take the same token before they hear of each other.
+// A workspace's token bucket, replicated on every VM. Each VM takes its own tokens at once and those that
+// other VMs took as soon as they report them, so that the fleet as a whole stays within rate and burst; what
+// was taken beyond, while reports were on their way, is paid back before more is given. While tokens are
+// scarce, a VM also keeps to its part of the rate: otherwise all VMs would take the same token before they
+// hear of each other.
 #pragma once
 
 #include "clock.h"
@@ -46,7 +47,8 @@
 [[nodiscard]] fleet_bucket make_fleet_bucket(const bucket_contract& contract, instant now);
 
 // Adds what has flowed in since the last call. The part of the VMs that do not report is left to them.
-void refill(fleet_bucket& bucket, const bucket_contract& contract, const bucket_sharers& sharers, instant now);
+void refill(fleet_bucket& bucket, const bucket_contract& contract, const bucket_sharers& sharers,
+            instant now);
 
 // Takes a token, if there is one.
 [[nodiscard]] bool take_token(fleet_bucket& bucket, const bucket_contract& contract,
--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -72,7 +72,8 @@
             continue;
         }
         const auto rank = [&](std::size_t index, const prospect& each) {
-            return std::make_tuple(candidates[index].doubtful, each.cost, order_of(candidates[index], request));
+            return std::make_tuple(candidates[index].doubtful, each.cost,
+                                   order_of(candidates[index], request));
         };
         if (!best || rank(i, seen) < rank(*best, best_seen)) {
             best = i;
--- a/packages/policy/recent_uses.h
+++ b/packages/policy/recent_uses.h
@@ -1,5 +1,5 @@
-// Remembers which target handled which object lately, in a table of fixed size: an entry gives way to a newer one
-// with the same place.
+// Remembers which target handled which object lately, in a table of fixed size: an entry gives way to a newer
+// one with the same place.
 #pragma once
 
 #include "clock.h"
--- a/packages/policy/region_shift.h
+++ b/packages/policy/region_shift.h
@@ -1,5 +1,5 @@
-// Limits how fast the requests that one VM takes move from one region to another: a region's share of them may
-// only grow by so much from one window of time to the next, upwards as well as back.
+// Limits how fast the requests that one VM takes move from one region to another: a region's share of them
+// may only grow by so much from one window of time to the next, upwards as well as back.
 #pragma once
 
 #include "clock.h"
@@ -39,8 +39,8 @@
 // Notes that a request was sent to the region.
 void note_region(region_shift& shift, const shift_terms& terms, const std::string& region, instant now);
 
-// Returns whether one more request may be sent to the region now. While there are too few requests to speak of
-// shares, all regions are open.
+// Returns whether one more request may be sent to the region now. While there are too few requests to speak
+// of shares, all regions are open.
 [[nodiscard]] bool may_grow(region_shift& shift, const shift_terms& terms, const std::string& region,
                             instant now);
 
--- a/packages/policy/repeat_budget.h
+++ b/packages/policy/repeat_budget.h
@@ -1,5 +1,5 @@
-// The budget of repeats: how many times, in any window, requests for a service may be sent to a further target.
-// The bound holds over all VMs; each VM keeps to its part without asking the others.
+// The budget of repeats: how many times, in any window, requests for a service may be sent to a further
+// target. The bound holds over all VMs; each VM keeps to its part without asking the others.
 #pragma once
 
 #include "clock.h"
--- a/packages/policy/repeat_rules.h
+++ b/packages/policy/repeat_rules.h
@@ -1,5 +1,5 @@
-// Decides what follows the end of one attempt at a target: whether the request may be sent again, and what its
-// caller may truthfully be told.
+// Decides what follows the end of one attempt at a target: whether the request may be sent again, and what
+// its caller may truthfully be told.
 #pragma once
 
 #include "steering_config.h"
@@ -30,8 +30,8 @@
 // Whether the request may have run once the attempt has ended so.
 [[nodiscard]] bool may_have_run(attempt_end end);
 
-// Whether the kind of request may be sent to a further target after such an end. The budget of repeats and the
-// number of attempts are checked apart.
+// Whether the kind of request may be sent to a further target after such an end. The budget of repeats and
+// the number of attempts are checked apart.
 [[nodiscard]] bool may_repeat(request_kind kind, attempt_end end);
 
 // The HTTP status of an answer of our own, after all attempts. `ever_may_have_run` covers all of them: only a
--- a/packages/policy/steering_config.cpp
+++ b/packages/policy/steering_config.cpp
@@ -60,7 +60,8 @@
     for (std::size_t i = 0; i < made->source.services.size(); ++i) {
         const std::string& name = made->source.services[i].name;
         if (name.empty() || !made->service_by_name.emplace(name, i).second) {
-            found.push_back({fmt::format("services[{}].name", i), fmt::format("'{}' is empty or twice", name)});
+            found.push_back(
+                {fmt::format("services[{}].name", i), fmt::format("'{}' is empty or twice", name)});
         }
     }
     for (std::size_t i = 0; i < made->source.routes.size(); ++i) {
--- a/packages/policy/store_mirror.h
+++ b/packages/policy/store_mirror.h
@@ -39,9 +39,8 @@
 
 // Takes in a complete read of the store at `revision`: items that it lacks are removed. Returns the changes
 // that were new.
-[[nodiscard]] std::vector<store_change> merge_full_read(store_mirror& mirror,
-                                                        const std::vector<store_change>& items,
-                                                        std::uint64_t revision);
+[[nodiscard]] std::vector<store_change>
+merge_full_read(store_mirror& mirror, const std::vector<store_change>& items, std::uint64_t revision);
 
 // Returns the changes after `revision`, oldest first.
 [[nodiscard]] std::vector<store_change> changes_since(const store_mirror& mirror, std::uint64_t revision);
--- a/packages/policy/target_health.h
+++ b/packages/policy/target_health.h
@@ -37,8 +37,8 @@
 // The service time that is expected while nothing is known.
 constexpr milliseconds unknown_service_time{300};
 
-// Returns the time that a request took without its wait for a slot. `load` are the requests at the target, over
-// its `slots`, when it was sent.
+// Returns the time that a request took without its wait for a slot. `load` are the requests at the target,
+// over its `slots`, when it was sent.
 [[nodiscard]] milliseconds time_without_waiting(milliseconds latency, double load, double slots);
 
 // Returns the moving average with a fresh time; 0 is an average without any.
--- a/packages/proxy/asio_types.cpp
+++ b/packages/proxy/asio_types.cpp
@@ -45,8 +45,8 @@
     socket.set_option(tcp::no_delay(true), ignored);
     const unsigned timeout = static_cast<unsigned>(user_timeout.count());
     // A platform without the option only notices silence later.
-    static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-                                   sizeof(timeout)));
+    static_cast<void>(
+        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout)));
 }
 
 asio::awaitable<void> sleep_for(asio::io_context& context, nanoseconds time) {
--- a/packages/proxy/asio_types.h
+++ b/packages/proxy/asio_types.h
@@ -1,6 +1,8 @@
 // Short names of the networking library's types, and helpers for operations that report errors by value.
 //
-// GCC 12 miscompiles co_await inside conditions, // Short names of the networking library's types, and helpers for operations that report errors by value.// Short names of the networking library's types, and helpers for operations that report errors by value. and ?: and beside temporaries of aggregate types: every
+// GCC 12 miscompiles co_await inside conditions, // Short names of the networking library's types, and
+// helpers for operations that report errors by value.// Short names of the networking library's types, and
+// helpers for operations that report errors by value. and ?: and beside temporaries of aggregate types: every
 // co_await stands in a statement of its own.
 #pragma once
 
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -107,14 +107,14 @@
     if (state.keep_alive) {
         state.idle_timeout = idle_terms_of(state.core).idle_timeout;
         const auto idle = std::chrono::floor<seconds>(*state.idle_timeout);
-        response.set(http::field::keep_alive,
-                 "timeout=" + std::to_string(std::max<std::int64_t>(1, idle.count() - seconds_kept_back)));
+        response.set(http::field::keep_alive, "timeout=" + std::to_string(std::max<std::int64_t>(
+                                                               1, idle.count() - seconds_kept_back)));
     }
 }
 
 // Writes an answer of this VM's own.
-asio::awaitable<bool> write_local(caller_connection_state& state, const local_answer& answer, unsigned version,
-                                  const std::string& id) {
+asio::awaitable<bool> write_local(caller_connection_state& state, const local_answer& answer,
+                                  unsigned version, const std::string& id) {
     local_response response(static_cast<http::status>(answer.status), version);
     response.set(http::field::content_type, "text/plain");
     if (!id.empty()) {
@@ -283,12 +283,13 @@
                                   const caller_request& request, const request_plan& plan) {
     node_core& core = state.core;
     auto control = std::make_shared<request_control>();
-    const deadline timeout(core.deadlines, plan.give_up_at, [control = control.get()] { time_out(*control); });
+    const deadline timeout(core.deadlines, plan.give_up_at,
+                           [control = control.get()] { time_out(*control); });
     if (!request.has_more_body) {
         asio::co_spawn(core.context, watch_caller(state.socket, control), asio::detached);
     }
-    auto writer = std::make_shared<streaming_writer>(
-        streaming_writer{state, request.head.version(), {}, std::nullopt});
+    auto writer =
+        std::make_shared<streaming_writer>(streaming_writer{state, request.head.version(), {}, std::nullopt});
     body_source rest = request.has_more_body ? make_rest(state, parser) : body_source();
     ++core.requests_in_progress;
     const answer_sink sink = make_sink(writer);
--- a/packages/proxy/deadline_list.h
+++ b/packages/proxy/deadline_list.h
@@ -1,5 +1,5 @@
-// Deadlines of many connections and requests, checked together at a short interval. Starting and ending one costs
-// no timer of the event loop, of which each request would need several.
+// Deadlines of many connections and requests, checked together at a short interval. Starting and ending one
+// costs no timer of the event loop, of which each request would need several.
 #pragma once
 
 #include "clock.h"
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -32,7 +32,8 @@
         const auto is_field = [&](boost::beast::string_view name) {
             return boost::beast::iequals(field.name_string(), name);
         };
-        const bool is_key = field.name() == http::field::authorization && !plan.config->rules().workspaces.empty();
+        const bool is_key =
+            field.name() == http::field::authorization && !plan.config->rules().workspaces.empty();
         const bool is_replaced = std::any_of(replaced.begin(), replaced.end(), is_field);
         if (!is_key && !is_replaced && !is_hop_by_hop(request.head, field.name_string()) &&
             field.name() != http::field::content_length && field.name() != http::field::expect) {
@@ -88,7 +89,8 @@
 
 milliseconds draw_retry_after(node_core& core, milliseconds expected) {
     std::uniform_real_distribution<double> spread(0.5, 1.5);
-    const double time = static_cast<double>(std::max(expected, min_retry_after).count()) * spread(core.random);
+    const double time =
+        static_cast<double>(std::max(expected, min_retry_after).count()) * spread(core.random);
     return std::min(max_retry_after, milliseconds(static_cast<std::int64_t>(time)));
 }
 
@@ -96,8 +98,7 @@
     if (selection.none_usable) {
         return {503, "no_target", draw_retry_after(core, min_retry_after)};
     }
-    const auto objective =
-        std::chrono::duration_cast<milliseconds>(plan.objective_at - now_of(core));
+    const auto objective = std::chrono::duration_cast<milliseconds>(plan.objective_at - now_of(core));
     return {503, "no_room", draw_retry_after(core, selection.expected_finish - objective)};
 }
 
@@ -114,7 +115,8 @@
 void note_failure(node_core& core, const request_plan& plan, const known_target& target, attempt_end end) {
     const instant now = now_of(core);
     auto& suspects = core.crash_suspects[target.info.id];
-    std::erase_if(suspects, [now](const auto& suspect) { return now - suspect.second > crash_confirmation_time; });
+    std::erase_if(suspects,
+                  [now](const auto& suspect) { return now - suspect.second > crash_confirmation_time; });
     if (end == attempt_end::failed) {
         suspects.emplace_back(plan.fingerprint, now);
     }
@@ -158,9 +160,9 @@
 } // namespace
 
 bool is_hop_by_hop(const http::fields& fields, boost::beast::string_view name) {
-    constexpr std::array<const char*, 8> own{"Connection", "Keep-Alive", "Proxy-Connection",
-                                             "Transfer-Encoding", "TE", "Trailer", "Upgrade",
-                                             "Proxy-Authenticate"};
+    constexpr std::array<const char*, 8> own{
+        "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+        "TE",         "Trailer",    "Upgrade",          "Proxy-Authenticate"};
     const auto is_name = [name](const char* each) { return boost::beast::iequals(name, each); };
     if (std::any_of(own.begin(), own.end(), is_name)) {
         return true;
--- a/packages/proxy/gossip.cpp
+++ b/packages/proxy/gossip.cpp
@@ -86,8 +86,10 @@
     }
 }
 
-// Returns whether more of some contract was used since the last report than VMs elsewhere should be unaware of.
-bool is_report_urgent(const node_core& core, const std::unordered_map<std::uint32_t, std::uint64_t>& reported) {
+// Returns whether more of some contract was used since the last report than VMs elsewhere should be unaware
+// of.
+bool is_report_urgent(const node_core& core,
+                      const std::unordered_map<std::uint32_t, std::uint64_t>& reported) {
     // Part of the burst, divided by all VMs, that may be used unreported.
     constexpr double unreported_part = 0.2;
     const auto total = static_cast<double>(sharers_of(core).total);
@@ -168,7 +170,8 @@
     peer_vm* peer = nullptr;
     if (tells_addresses(gossip)) {
         peer = note_record(core.peers, gossip.sender(), now);
-    } else if (known != core.peers.by_name.end() && known->second.started_ms == gossip.sender().started_ms()) {
+    } else if (known != core.peers.by_name.end() &&
+               known->second.started_ms == gossip.sender().started_ms()) {
         peer = &known->second;
     }
     if (peer == nullptr || gossip.sequence() <= peer->sequence) {
@@ -239,7 +242,8 @@
     for (std::uint64_t round = 0;; ++round) {
         schema::Gossip gossip = make_gossip(this->core, ++this->sequence);
         const std::string near = gossip.SerializeAsString();
-        const bool is_far_round = round % far_rounds == 0 || is_report_urgent(this->core, this->reported_uses);
+        const bool is_far_round =
+            round % far_rounds == 0 || is_report_urgent(this->core, this->reported_uses);
         if (is_far_round && tells_addresses(gossip)) {
             add_others(this->core, gossip, this->sequence);
         }
--- a/packages/proxy/gossip.h
+++ b/packages/proxy/gossip.h
@@ -1,5 +1,6 @@
-// Datagrams between VMs: loads at targets, use of contracts, crashes, who is there and how new the store's copy is.
-// VMs of the own region hear often, others less so. Datagrams may be lost: each carries the whole state.
+// Datagrams between VMs: loads at targets, use of contracts, crashes, who is there and how new the store's
+// copy is. VMs of the own region hear often, others less so. Datagrams may be lost: each carries the whole
+// state.
 #pragma once
 
 #include "node_core.h"
--- a/packages/proxy/news_exchange.cpp
+++ b/packages/proxy/news_exchange.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr const char* news_code = "news";
-// The store tells all VMs that read it within a few milliseconds: a copy that is behind for longer does not get
-// the store's answers.
+// The store tells all VMs that read it within a few milliseconds: a copy that is behind for longer does not
+// get the store's answers.
 constexpr milliseconds behind_time{250};
 constexpr milliseconds check_interval{100};
 constexpr milliseconds pull_timeout{1000};
--- a/packages/proxy/news_exchange.h
+++ b/packages/proxy/news_exchange.h
@@ -1,5 +1,5 @@
-// Passes changes of the store between VMs, over HTTP/2 streams: a VM that the store does not serve, or that does
-// not read it, asks a VM whose copy is newer for everything after its own revision.
+// Passes changes of the store between VMs, over HTTP/2 streams: a VM that the store does not serve, or that
+// does not read it, asks a VM whose copy is newer for everything after its own revision.
 #pragma once
 
 #include "node_core.h"
@@ -9,7 +9,8 @@
 // Answers other VMs until the acceptor is closed.
 asio::awaitable<void> serve_news(node_core& core, tcp::acceptor& acceptor);
 
-// Asks whenever another VM's copy of the store is newer than this VM's for longer than the store usually takes.
+// Asks whenever another VM's copy of the store is newer than this VM's for longer than the store usually
+// takes.
 asio::awaitable<void> pull_news(node_core& core);
 
 // Returns the answer to the question for all changes after `revision`.
--- a/packages/proxy/node_core.cpp
+++ b/packages/proxy/node_core.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// An entry that is gone after the store was away may only have lapsed: the target is used for this much longer,
-// as entries of live targets return within about two seconds.
+// An entry that is gone after the store was away may only have lapsed: the target is used for this much
+// longer, as entries of live targets return within about two seconds.
 constexpr milliseconds lapsed_entry_time{1700};
 // How long after its return the store counts as having been away.
 constexpr milliseconds store_return_time{1000};
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -39,8 +39,8 @@
 
 // What is learned about a service as a whole.
 struct service_learning {
-    // Moving averages of the time of one request without waiting: of all, of those at targets that had handled
-    // the object lately, and of those at others.
+    // Moving averages of the time of one request without waiting: of all, of those at targets that had
+    // handled the object lately, and of those at others.
     milliseconds service_time{};
     milliseconds warm_time{};
     milliseconds cold_time{};
--- a/packages/proxy/node_metrics.cpp
+++ b/packages/proxy/node_metrics.cpp
@@ -43,8 +43,8 @@
         text += fmt::format("cassiaspan_answer_latency_ms_bucket{{le=\"{}\"}} {}\n", latency_bounds_ms.at(i),
                             below);
     }
-    text += fmt::format("cassiaspan_answer_latency_ms_bucket{{le=\"+Inf\"}} {}\n",
-                        metrics.answer_latency.total);
+    text +=
+        fmt::format("cassiaspan_answer_latency_ms_bucket{{le=\"+Inf\"}} {}\n", metrics.answer_latency.total);
     text += fmt::format("cassiaspan_answer_latency_ms_sum {}\n", metrics.answer_latency.sum_ms);
     text += fmt::format("cassiaspan_answer_latency_ms_count {}\n", metrics.answer_latency.total);
     return text;
--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -44,7 +44,8 @@
     std::map<std::string, peer_vm> by_name;
 };
 
-// Takes in a VM's record. Returns the VM, or nothing when the record is older than what is known or unreadable.
+// Takes in a VM's record. Returns the VM, or nothing when the record is older than what is known or
+// unreadable.
 peer_vm* note_record(peer_table& peers, const schema::VmRecord& record, instant now);
 
 // Returns whether the VM has been heard of lately.
--- a/packages/proxy/platform_adapter.h
+++ b/packages/proxy/platform_adapter.h
@@ -1,5 +1,6 @@
 // What the product asks of the platform that it runs on: the meaning of the store's items and the form of the
-// answers that the platform's callers expect. Implemented in the platform's folder; nothing else knows its names.
+// answers that the platform's callers expect. Implemented in the platform's folder; nothing else knows its
+// names.
 #pragma once
 
 #include "header_names.h"
@@ -45,8 +46,8 @@
 // An item that the product has no use for.
 struct irrelevant_change {};
 
-using decoded_change = std::variant<irrelevant_change, target_entry_change, config_change, evacuation_change,
-                                    vm_record_change>;
+using decoded_change =
+    std::variant<irrelevant_change, target_entry_change, config_change, evacuation_change, vm_record_change>;
 
 // What a target says of its load in its answers.
 struct target_load {
--- a/packages/proxy/request_control.cpp
+++ b/packages/proxy/request_control.cpp
@@ -23,8 +23,7 @@
         co_return;
     }
     char byte = 0;
-    const std::size_t count =
-        socket->receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    const std::size_t count = socket->receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
     // A byte is the caller's next request: its end is then seen when that request is read.
     if (error != asio::error::would_block && (error || count == 0)) {
         control->caller_left = true;
--- a/packages/proxy/request_plan.cpp
+++ b/packages/proxy/request_plan.cpp
@@ -15,8 +15,8 @@
 constexpr unsigned status_unavailable = 503;
 // When a caller may ask a VM again that has no configuration yet.
 constexpr milliseconds starting_retry_after{300};
-// A refused request of a workspace over its rate comes back after the bucket's next token, at the earliest after
-// this time.
+// A refused request of a workspace over its rate comes back after the bucket's next token, at the earliest
+// after this time.
 constexpr milliseconds min_quota_retry_after{250};
 
 using plan_pass = tl::expected<void, local_answer>;
@@ -56,12 +56,13 @@
     plan.give_up_at = request.arrived + longest;
     plan.objective_at = request.arrived + std::min(longest, plan.route->latency_objective);
     plan.priority = plan.workspace != nullptr && plan.workspace->priority ? *plan.workspace->priority
-                                                                         : plan.route->priority;
+                                                                          : plan.route->priority;
 }
 
 plan_pass check_quarantine(const node_core& core, request_plan& plan, const caller_request& request) {
-    plan.fingerprint = stable_hash(view(request.head.target()),
-                                   stable_hash(request.body, stable_hash(view(request.head.method_string()))));
+    plan.fingerprint =
+        stable_hash(view(request.head.target()),
+                    stable_hash(request.body, stable_hash(view(request.head.method_string()))));
     if (plan.workspace != nullptr) {
         plan.fingerprint = stable_hash(plan.workspace->name, plan.fingerprint);
     }
@@ -86,9 +87,8 @@
 
 void choose_service(node_core& core, request_plan& plan, const caller_request& request) {
     const auto& parts = plan.route->split;
-    plan.service =
-        parts.size() == 1 ? parts.front().service
-                          : parts[choose_part(core.splits[plan.route->name], parts)].service;
+    plan.service = parts.size() == 1 ? parts.front().service
+                                     : parts[choose_part(core.splits[plan.route->name], parts)].service;
     const std::string_view key = view(request.head[core.platform.headers().affinity_key]);
     if (plan.route->affinity && !key.empty()) {
         plan.affinity = stable_hash(key);
--- a/packages/proxy/request_plan.h
+++ b/packages/proxy/request_plan.h
@@ -1,5 +1,5 @@
-// The passes that decide a request before anything is sent: route, workspace, contract, service. Each pass either
-// adds to the plan or answers the caller at once.
+// The passes that decide a request before anything is sent: route, workspace, contract, service. Each pass
+// either adds to the plan or answers the caller at once.
 #pragma once
 
 #include "node_core.h"
--- a/packages/proxy/small_http_service.h
+++ b/packages/proxy/small_http_service.h
@@ -23,8 +23,8 @@
 // Answers metric collectors.
 [[nodiscard]] small_response answer_metrics(const node_core& core, const small_request& request);
 
-// Returns the VMs that a caller of that region is to use: all that accept work and were heard lately, those of
-// the region where there are any.
+// Returns the VMs that a caller of that region is to use: all that accept work and were heard lately, those
+// of the region where there are any.
 [[nodiscard]] std::vector<socket_address> choose_vms(const node_core& core, const std::string& region);
 
 } // namespace cassiaspan
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -18,7 +18,8 @@
 constexpr milliseconds housekeeping_interval{200};
 constexpr milliseconds deadline_interval{25};
 constexpr milliseconds log_flush_interval{100};
-// During a planned stop, work is taken for this part of the grace: callers learn within it that the VM leaves.
+// During a planned stop, work is taken for this part of the grace: callers learn within it that the VM
+// leaves.
 constexpr int accepting_divisor = 3;
 constexpr milliseconds longest_accepting{2500};
 // The process ends this long before it would be killed.
@@ -39,8 +40,9 @@
 public:
     running_node(node_core& core_in, const store_factory& make_store)
         : core(core_in), callers(core_in.context), ready(core_in.context), directory(core_in.context),
-          peers(core_in.context), metrics(core_in.context), gossip(core_in), watch_connection(make_store(core_in.context)),
-          record_connection(make_store(core_in.context)), signals(core_in.context, SIGTERM, SIGINT, SIGHUP) {}
+          peers(core_in.context), metrics(core_in.context), gossip(core_in),
+          watch_connection(make_store(core_in.context)), record_connection(make_store(core_in.context)),
+          signals(core_in.context, SIGTERM, SIGINT, SIGHUP) {}
 
     tl::expected<void, std::string> open() {
         const node_settings& settings = this->core.settings;
@@ -101,9 +103,10 @@
 
     template <class Answer> void serve_small(tcp::acceptor& acceptor, Answer answer) {
         if (acceptor.is_open()) {
-            this->spawn(serve_small_requests(this->core, acceptor, [this, answer](const small_request& request) {
-                return answer(this->core, request);
-            }));
+            this->spawn(
+                serve_small_requests(this->core, acceptor, [this, answer](const small_request& request) {
+                    return answer(this->core, request);
+                }));
         }
     }
 
@@ -160,7 +163,8 @@
         this->gossip.announce();
         this->core.log.write(begun, node_event::stopping,
                              log_fields().add("in_progress", this->core.requests_in_progress));
-        co_await sleep_for(this->core.context, std::min<milliseconds>(longest_accepting, grace / accepting_divisor));
+        co_await sleep_for(this->core.context,
+                           std::min<milliseconds>(longest_accepting, grace / accepting_divisor));
         this->core.phase = node_phase::refusing;
         error_code ignored;
         this->callers.close(ignored);
@@ -194,9 +198,9 @@
 
 } // namespace
 
-tl::expected<void, std::string>
-run_node(const clock& time, const node_settings& settings, const platform_adapter& platform,
-         const store_factory& make_store, node_log& log) {
+tl::expected<void, std::string> run_node(const clock& time, const node_settings& settings,
+                                         const platform_adapter& platform, const store_factory& make_store,
+                                         node_log& log) {
     std::signal(SIGPIPE, SIG_IGN);
     node_core core(time, settings, platform, log);
     core.started_ms = unix_milliseconds();
--- a/packages/proxy/store_watcher.cpp
+++ b/packages/proxy/store_watcher.cpp
@@ -40,8 +40,9 @@
     if (!core.store_is_lost) {
         core.store_is_lost = true;
         core.store_failed_since = now;
-        core.log.write(now, node_event::store_lost,
-                       log_fields().add("call", what).add("why", outcome).add("revision", core.mirror.revision));
+        core.log.write(
+            now, node_event::store_lost,
+            log_fields().add("call", what).add("why", outcome).add("revision", core.mirror.revision));
     }
 }
 
@@ -134,7 +135,8 @@
             }
         }
         if (lease == 0) {
-            const auto granted = co_await store.grant_lease(std::max(record_lease, core.settings.store_min_lease));
+            const auto granted =
+                co_await store.grant_lease(std::max(record_lease, core.settings.store_min_lease));
             bool written = false;
             if (granted) {
                 std::string record = make_vm_record(core).SerializeAsString();
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-// Answers up to this size are read whole before the caller gets the first byte, so that one that breaks off can
-// still be replaced.
+// Answers up to this size are read whole before the caller gets the first byte, so that one that breaks off
+// can still be replaced.
 constexpr std::size_t max_buffered_answer = 64 * 1024;
 constexpr std::size_t read_piece = 16 * 1024;
 constexpr std::uint32_t max_answer_header_bytes = 64 * 1024;
@@ -103,8 +103,7 @@
     std::int64_t cold = 0;
     if (std::from_chars(cold_text.data(), cold_text.data() + cold_text.size(), cold).ec == std::errc() &&
         cold > 0) {
-        target.cold_until =
-            std::max(target.cold_until, now + std::min(milliseconds(cold), max_cold_time));
+        target.cold_until = std::max(target.cold_until, now + std::min(milliseconds(cold), max_cold_time));
     }
 }
 
@@ -123,7 +122,8 @@
         return attempt_end::rejected;
     }
     const bool is_success = status / 100 == 2;
-    if (head.count(http::field::content_encoding) != 0 || (is_success && head.count(names.answer_seal) == 0)) {
+    if (head.count(http::field::content_encoding) != 0 ||
+        (is_success && head.count(names.answer_seal) == 0)) {
         return attempt_end::failed;
     }
     return attempt_end::answered;
--- a/packages/proxy/target_attempt.h
+++ b/packages/proxy/target_attempt.h
@@ -11,8 +11,8 @@
 
 namespace cassiaspan {
 
-// Reads the part of a caller's body that was not buffered. Fills `chunk`; an empty one ends the body. False when
-// the caller's connection failed.
+// Reads the part of a caller's body that was not buffered. Fills `chunk`; an empty one ends the body. False
+// when the caller's connection failed.
 using body_source = std::function<asio::awaitable<bool>(std::string& chunk)>;
 
 // Takes an answer that is too large to be buffered, piece by piece.
--- a/packages/proxy/target_connections.h
+++ b/packages/proxy/target_connections.h
@@ -8,8 +8,8 @@
 
 namespace cassiaspan {
 
-// Returns an idle connection that may be used, or nothing. `max_idle` is the longest idle time that the request
-// accepts: one that may not be repeated only takes a connection that was in use just before.
+// Returns an idle connection that may be used, or nothing. `max_idle` is the longest idle time that the
+// request accepts: one that may not be repeated only takes a connection that was in use just before.
 [[nodiscard]] std::unique_ptr<target_connection> take_idle_connection(known_target& target, instant now,
                                                                       milliseconds max_idle);
 
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -25,7 +25,8 @@
     const std::vector<std::string> any;
     const auto& workspace_regions = plan.workspace != nullptr ? plan.workspace->allowed_regions : any;
     return !target.info.draining && !(target.removed_at && *target.removed_at <= now) &&
-           core.evacuated_zones.count(target.info.availability_zone) == 0 && !is_blocked(target.health, now) &&
+           core.evacuated_zones.count(target.info.availability_zone) == 0 &&
+           !is_blocked(target.health, now) &&
            is_region_allowed(plan.route->allowed_regions, workspace_regions, target.info.region);
 }
 
@@ -58,7 +59,8 @@
     candidate.identity = target.identity;
     candidate.load = estimate_load(target, now);
     candidate.slots = static_cast<double>(std::max<std::size_t>(target.info.slots, 1));
-    candidate.slowness = own == 0 ? 1 : std::clamp(own / static_cast<double>(usual.count()), min_slowness, max_slowness);
+    candidate.slowness =
+        own == 0 ? 1 : std::clamp(own / static_cast<double>(usual.count()), min_slowness, max_slowness);
     candidate.used_lately = key && was_used(core.uses, target.identity, *key, warm_memory, now);
     candidate.round_trip = target.health.round_trip != milliseconds(0) ? target.health.round_trip
                            : near                                      ? near_round_trip
@@ -111,16 +113,18 @@
     }
     const auto left = std::chrono::duration_cast<milliseconds>(plan.objective_at - now);
     const milliseconds warm = learned.warm_time == milliseconds(0) ? usual : learned.warm_time;
-    const milliseconds cold = learned.cold_time == milliseconds(0) ? warm * unknown_cold_factor : learned.cold_time;
+    const milliseconds cold =
+        learned.cold_time == milliseconds(0) ? warm * unknown_cold_factor : learned.cold_time;
     const bool explore = core.random() % exploring_share == 0;
-    const placement placed =
-        place_request(candidates, {plan.affinity, warm, std::max(warm, cold), explore, std::max(left, milliseconds(0))});
+    const placement placed = place_request(
+        candidates, {plan.affinity, warm, std::max(warm, cold), explore, std::max(left, milliseconds(0))});
     if (!placed.index) {
         return {nullptr, placed.expected_finish, !any_usable};
     }
     const target_ptr& chosen = targets[*placed.index];
     note_region(core.shift, core.settings.shifts, chosen->info.region, now);
-    const bool was_warm = plan.affinity && was_used(core.uses, chosen->identity, *plan.affinity, warm_memory, now);
+    const bool was_warm =
+        plan.affinity && was_used(core.uses, chosen->identity, *plan.affinity, warm_memory, now);
     if (plan.affinity) {
         note_use(core.uses, chosen->identity, *plan.affinity, now);
     }
--- a/packages/proxy/target_table.h
+++ b/packages/proxy/target_table.h
@@ -49,8 +49,8 @@
     std::size_t in_flight = 0;
     std::size_t peers_in_flight = 0;
     std::optional<reported_load> reported;
-    // The entry is gone; the target is used until then, in case that the entry only lapsed while the store was
-    // away.
+    // The entry is gone; the target is used until then, in case that the entry only lapsed while the store
+    // was away.
     std::optional<instant> removed_at;
     std::vector<std::unique_ptr<target_connection>> idle_connections;
     std::size_t open_connections = 0;
--- a/test/correctness/budgets_test.cpp
+++ b/test/correctness/budgets_test.cpp
@@ -184,9 +184,9 @@
 }
 
 // The bound is the rate while cold x 1.5 + 5.
-const test_table<cold_row> colds("cold_pacing",
-                                 {{"one VM", 1, 8, 17}, {"eight VMs", 8, 7.5, 16.25}, {"eighty VMs", 80, 14, 26}},
-                                 check_cold);
+const test_table<cold_row>
+    colds("cold_pacing", {{"one VM", 1, 8, 17}, {"eight VMs", 8, 7.5, 16.25}, {"eighty VMs", 80, 14, 26}},
+          check_cold);
 
 struct shift_row {
     std::string name;
@@ -215,11 +215,10 @@
     CPPUNIT_ASSERT(static_cast<double>(far) / count <= row.max_far_share_in_next);
 }
 
-const test_table<shift_row> shifts("region_shift",
-                                   {{"from all near", 10, 0.1, 0.13},
-                                    {"from half", 5, 0.1, 0.63},
-                                    {"without a limit", 10, 0, 1.0}},
-                                   check_shift);
+const test_table<shift_row>
+    shifts("region_shift",
+           {{"from all near", 10, 0.1, 0.13}, {"from half", 5, 0.1, 0.63}, {"without a limit", 10, 0, 1.0}},
+           check_shift);
 
 void the_first_requests_are_free() {
     region_shift shift;
@@ -240,16 +239,16 @@
     CPPUNIT_ASSERT(may_grow(shift, terms, "far", start + seconds(60)));
 }
 
-const test_table<scenario> details(
-    "budget details",
-    {{"restarted copies do not renew the burst", restarted_copies_do_not_renew_the_burst},
-     {"silent VMs keep their part", silent_vms_keep_their_part},
-     {"lowered limits bind at once", lowered_limits_bind_at_once},
-     {"unlimited workspaces are never refused", unlimited_workspaces_are_never_refused},
-     {"the wait is that of the next token", the_wait_is_that_of_the_next_token},
-     {"the first requests may go anywhere", the_first_requests_are_free},
-     {"a pause forgets the shares", a_pause_forgets_the_shares}},
-    run_scenario);
+const test_table<scenario>
+    details("budget details",
+            {{"restarted copies do not renew the burst", restarted_copies_do_not_renew_the_burst},
+             {"silent VMs keep their part", silent_vms_keep_their_part},
+             {"lowered limits bind at once", lowered_limits_bind_at_once},
+             {"unlimited workspaces are never refused", unlimited_workspaces_are_never_refused},
+             {"the wait is that of the next token", the_wait_is_that_of_the_next_token},
+             {"the first requests may go anywhere", the_first_requests_are_free},
+             {"a pause forgets the shares", a_pause_forgets_the_shares}},
+            run_scenario);
 
 } // namespace
 } // namespace cassiaspan::test
--- a/test/correctness/request_rules_test.cpp
+++ b/test/correctness/request_rules_test.cpp
@@ -35,12 +35,13 @@
 }
 
 const test_table<repeat_rule_row>
-    repeat_rule_rows("repeat_rules", {{"rejected", attempt_end::rejected, false, true, true, 503},
-                                      {"misdirected", attempt_end::misdirected, false, true, true, 503},
-                                      {"unreachable", attempt_end::unreachable, false, true, true, 503},
-                                      {"failed", attempt_end::failed, true, true, false, 502},
-                                      {"timed out", attempt_end::timed_out, true, false, false, 504},
-                                      {"caller left", attempt_end::caller_left, true, false, false, 502}},
+    repeat_rule_rows("repeat_rules",
+                     {{"rejected", attempt_end::rejected, false, true, true, 503},
+                      {"misdirected", attempt_end::misdirected, false, true, true, 503},
+                      {"unreachable", attempt_end::unreachable, false, true, true, 503},
+                      {"failed", attempt_end::failed, true, true, false, 502},
+                      {"timed out", attempt_end::timed_out, true, false, false, 504},
+                      {"caller left", attempt_end::caller_left, true, false, false, 502}},
                      check_repeat_rule);
 
 struct split_row {
@@ -67,11 +68,12 @@
     }
 }
 
-const test_table<split_row> splits("traffic_split", {{"one part", {1}},
-                                                     {"even", {50, 50}},
-                                                     {"nine to one", {90, 10}},
-                                                     {"a part without weight", {1, 0, 1}},
-                                                     {"three parts", {70, 20, 10}}},
+const test_table<split_row> splits("traffic_split",
+                                   {{"one part", {1}},
+                                    {"even", {50, 50}},
+                                    {"nine to one", {90, 10}},
+                                    {"a part without weight", {1, 0, 1}},
+                                    {"three parts", {70, 20, 10}}},
                                    check_split);
 
 void unreachable_targets_are_left_alone_for_longer_each_time() {
@@ -132,10 +134,12 @@
     CPPUNIT_ASSERT(choose_idle_terms(row.open, 4000, milliseconds(15'000)) == row.expected);
 }
 
-// Callers that open a connection for each of 500 tries a second fill 4,000 descriptors within 15 s of idle time.
-const test_table<pressure_row> pressures("connection_pressure", {{"few", 100, {milliseconds(15'000), false}},
-                                                                 {"a third", 1300, {milliseconds(5000), true}},
-                                                                 {"most", 3500, {milliseconds(2000), true}}},
+// Callers that open a connection for each of 500 tries a second fill 4,000 descriptors within 15 s of idle
+// time.
+const test_table<pressure_row> pressures("connection_pressure",
+                                         {{"few", 100, {milliseconds(15'000), false}},
+                                          {"a third", 1300, {milliseconds(5000), true}},
+                                          {"most", 3500, {milliseconds(2000), true}}},
                                          check_pressure);
 
 void recent_uses_expire() {
@@ -146,16 +150,16 @@
     CPPUNIT_ASSERT(!was_used(uses, 2, 1, seconds(5), start));
 }
 
-const test_table<scenario> details(
-    "request rules",
-    {{"unreachable targets are left alone for longer each time",
-      unreachable_targets_are_left_alone_for_longer_each_time},
-     {"an answer ends the series of failures", an_answer_ends_the_series_of_failures},
-     {"failing targets become doubtful and recover", failing_targets_become_doubtful_and_recover},
-     {"slow targets become doubtful", slow_targets_become_doubtful},
-     {"waiting for a slot does not count as slowness", waiting_for_a_slot_does_not_count_as_slowness},
-     {"recent uses expire", recent_uses_expire}},
-    run_scenario);
+const test_table<scenario>
+    details("request rules",
+            {{"unreachable targets are left alone for longer each time",
+              unreachable_targets_are_left_alone_for_longer_each_time},
+             {"an answer ends the series of failures", an_answer_ends_the_series_of_failures},
+             {"failing targets become doubtful and recover", failing_targets_become_doubtful_and_recover},
+             {"slow targets become doubtful", slow_targets_become_doubtful},
+             {"waiting for a slot does not count as slowness", waiting_for_a_slot_does_not_count_as_slowness},
+             {"recent uses expire", recent_uses_expire}},
+            run_scenario);
 
 } // namespace
 } // namespace cassiaspan::test
--- a/test/correctness/steering_config_test.cpp
+++ b/test/correctness/steering_config_test.cpp
@@ -64,22 +64,21 @@
     CPPUNIT_ASSERT_EQUAL(row.place, config.error().front().place);
 }
 
-const test_table<invalid_row>
-    invalid("steering_config invalid",
-            {{"unknown service", [](steering_rules& rules) { rules.routes[0].split[0].service = "x"; },
-              "routes[0].split"},
-             {"prefix without slash", [](steering_rules& rules) { rules.routes[1].prefix = "/bears"; },
-              "routes[1].prefix"},
-             {"no time-out", [](steering_rules& rules) { rules.routes[0].timeout = {}; }, "routes[0].timeout"},
-             {"no weight", [](steering_rules& rules) { rules.routes[0].split[0].weight = 0; },
-              "routes[0].split"},
-             {"no attempt", [](steering_rules& rules) { rules.routes[0].max_attempts = 0; },
-              "routes[0].max_attempts"},
-             {"two routes of one prefix", [](steering_rules& rules) { rules.routes[1].prefix = "/"; },
-              "routes[1].prefix"},
-             {"a key held twice", [](steering_rules& rules) { rules.workspaces[0].keys.emplace_back("key-1"); },
-              "workspaces[0].keys"}},
-            check_invalid);
+const test_table<invalid_row> invalid(
+    "steering_config invalid",
+    {{"unknown service", [](steering_rules& rules) { rules.routes[0].split[0].service = "x"; },
+      "routes[0].split"},
+     {"prefix without slash", [](steering_rules& rules) { rules.routes[1].prefix = "/bears"; },
+      "routes[1].prefix"},
+     {"no time-out", [](steering_rules& rules) { rules.routes[0].timeout = {}; }, "routes[0].timeout"},
+     {"no weight", [](steering_rules& rules) { rules.routes[0].split[0].weight = 0; }, "routes[0].split"},
+     {"no attempt", [](steering_rules& rules) { rules.routes[0].max_attempts = 0; },
+      "routes[0].max_attempts"},
+     {"two routes of one prefix", [](steering_rules& rules) { rules.routes[1].prefix = "/"; },
+      "routes[1].prefix"},
+     {"a key held twice", [](steering_rules& rules) { rules.workspaces[0].keys.emplace_back("key-1"); },
+      "workspaces[0].keys"}},
+    check_invalid);
 
 void keys_lead_to_their_workspace() {
     const auto config = steering_config::make(make_rules());
@@ -94,11 +93,11 @@
     CPPUNIT_ASSERT(!is_region_allowed({"south"}, {}, "north"));
 }
 
-const test_table<scenario> details("steering_config",
-                                   {{"keys lead to their workspace", keys_lead_to_their_workspace},
-                                    {"regions of route and workspace both bind",
-                                     regions_of_route_and_workspace_both_bind}},
-                                   run_scenario);
+const test_table<scenario>
+    details("steering_config",
+            {{"keys lead to their workspace", keys_lead_to_their_workspace},
+             {"regions of route and workspace both bind", regions_of_route_and_workspace_both_bind}},
+            run_scenario);
 
 } // namespace
 } // namespace cassiaspan::test
