--- a/packages/policy/clock.cpp
+++ b/packages/policy/clock.cpp
@@ -10,4 +10,9 @@
     return instant{seconds{time.tv_sec} + nanoseconds{time.tv_nsec}};
 }
 
+std::int64_t unix_milliseconds() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(since_epoch).count();
+}
+
 } // namespace cassiaspan
--- a/packages/policy/clock.h
+++ b/packages/policy/clock.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace cassiaspan {
 
@@ -32,4 +33,8 @@
     [[nodiscard]] instant now() const override;
 };
 
+// Returns the time of day, milliseconds since 1970. For logs and for telling incarnations apart, not for
+// decisions.
+[[nodiscard]] std::int64_t unix_milliseconds();
+
 } // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/accept_loop.cpp
@@ -0,0 +1,44 @@
+#include "accept_loop.h"
+
+namespace cassiaspan {
+
+namespace {
+
+constexpr milliseconds pause_without_descriptors{20};
+
+// Logs what ended a connection's service unexpectedly, such as a lack of memory.
+void report_failure(node_core& core, const std::exception_ptr& failure) {
+    try {
+        std::rethrow_exception(failure);
+    } catch (const std::exception& error) {
+        core.log.write(now_of(core), node_event::internal_error,
+                       log_fields().add("what", "connection").add("why", error.what()));
+    }
+}
+
+} // namespace
+
+asio::awaitable<void> accept_connections(node_core& core, tcp::acceptor& acceptor,
+                                         connection_handler handler) {
+    for (;;) {
+        auto socket = std::make_shared<tcp::socket>(core.context);
+        error_code error;
+        co_await acceptor.async_accept(*socket, into(error));
+        if (!acceptor.is_open() || error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            core.log.write(now_of(core), node_event::internal_error,
+                           log_fields().add("what", "accept").add("why", error.message()));
+            co_await sleep_for(core.context, pause_without_descriptors);
+            continue;
+        }
+        asio::co_spawn(core.context, handler(std::move(socket)), [&core](const std::exception_ptr& failure) {
+            if (failure) {
+                report_failure(core, failure);
+            }
+        });
+    }
+}
+
+} // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/caller_answers.cpp
@@ -0,0 +1,156 @@
+#include "caller_answers.h"
+
+#include "connection_pressure.h"
+
+#include <fmt/format.h>
+
+namespace cassiaspan {
+
+namespace {
+
+// The idle time that callers are told is this much shorter than the one that is kept, seconds.
+constexpr int seconds_kept_back = 1;
+
+using local_response = http::response<http::string_body>;
+
+idle_terms idle_terms_of(const node_core& core) {
+    return choose_idle_terms(core.open_caller_connections, core.settings.max_descriptors,
+                             limits_of(core).idle_timeout);
+}
+
+asio::awaitable<bool> write_response(caller_connection_state& state, local_response& response) {
+    const socket_deadline timeout(state.core, state.socket, limits_of(state.core).idle_timeout);
+    error_code error;
+    co_await http::async_write(*state.socket, response, into(error));
+    co_return !error;
+}
+
+// Decides whether the connection outlives the answer, and tells the caller.
+template <class Response> void set_connection_fields(caller_connection_state& state, Response& response) {
+    // A stop may have begun since the request was read.
+    state.keep_alive = state.keep_alive && is_accepting(state.core);
+    response.keep_alive(state.keep_alive);
+    if (state.keep_alive) {
+        state.idle_timeout = idle_terms_of(state.core).idle_timeout;
+        const auto idle = std::chrono::floor<seconds>(*state.idle_timeout);
+        response.set(http::field::keep_alive, "timeout=" + std::to_string(std::max<std::int64_t>(
+                                                               1, idle.count() - seconds_kept_back)));
+    }
+}
+
+// Copies the target's head without what concerns its connection only.
+http::response_header<> copy_head(const http::response_header<>& source, unsigned version) {
+    http::response_header<> head;
+    head.version(version);
+    head.result(source.result_int());
+    head.reason(source.reason());
+    for (const auto& field : source) {
+        if (!is_hop_by_hop(source, field.name_string())) {
+            head.insert(field.name_string(), field.value());
+        }
+    }
+    return head;
+}
+
+// Passes a large answer on piece by piece.
+struct streaming_writer {
+    caller_connection_state& state;
+    unsigned version;
+    http::response<http::buffer_body> message;
+    std::optional<http::response_serializer<http::buffer_body>> serializer;
+
+    asio::awaitable<bool> begin(const http::response_header<>& head, std::optional<std::uint64_t> length) {
+        this->message.base() = copy_head(head, this->version);
+        this->message.erase(http::field::content_length);
+        if (length) {
+            this->message.content_length(*length);
+        } else if (this->version >= 11) {
+            this->message.chunked(true);
+        } else {
+            this->state.keep_alive = false;
+        }
+        set_connection_fields(this->state, this->message);
+        this->message.body().data = nullptr;
+        this->message.body().more = true;
+        this->serializer.emplace(this->message);
+        error_code error;
+        co_await http::async_write_header(*this->state.socket, *this->serializer, into(error));
+        co_return !error;
+    }
+
+    asio::awaitable<bool> write(const char* data, std::size_t size) {
+        this->message.body().data = const_cast<char*>(data);
+        this->message.body().size = size;
+        this->message.body().more = true;
+        const socket_deadline timeout(this->state.core, this->state.socket,
+                                      limits_of(this->state.core).idle_timeout);
+        error_code error;
+        co_await http::async_write(*this->state.socket, *this->serializer, into(error));
+        co_return !error || error == http::error::need_buffer;
+    }
+
+    asio::awaitable<void> finish(bool whole) {
+        error_code error;
+        if (!whole) {
+            // Without the last chunk, or short of its length, the answer does not look complete.
+            this->state.keep_alive = false;
+            this->state.socket->close(error);
+            co_return;
+        }
+        this->message.body().data = nullptr;
+        this->message.body().size = 0;
+        this->message.body().more = false;
+        co_await http::async_write(*this->state.socket, *this->serializer, into(error));
+    }
+};
+
+} // namespace
+
+caller_limits limits_of(const node_core& core) {
+    return core.config ? core.config->rules().limits : caller_limits{};
+}
+
+asio::awaitable<bool> write_local(caller_connection_state& state, const local_answer& answer,
+                                  unsigned version, const std::string& id) {
+    local_response response(static_cast<http::status>(answer.status), version);
+    response.set(http::field::content_type, "text/plain");
+    if (!id.empty()) {
+        response.set(state.core.platform.headers().request_id, id);
+    }
+    if (answer.retry_after) {
+        const double time = static_cast<double>(answer.retry_after->count()) / milliseconds::period::den;
+        response.set(http::field::retry_after, fmt::format("{:.3f}", time));
+    }
+    response.body() = answer.reason + "\n";
+    response.prepare_payload();
+    state.keep_alive = state.keep_alive && !idle_terms_of(state.core).close_after_refusal;
+    set_connection_fields(state, response);
+    co_return co_await write_response(state, response);
+}
+
+asio::awaitable<bool> write_target_answer(caller_connection_state& state, target_answer answer,
+                                          const http::request_header<>& request) {
+    http::response<http::string_body> response(copy_head(answer.head, request.version()));
+    const unsigned status = answer.head.result_int();
+    const bool without_body = request.method() == http::verb::head || status == 204 || status == 304;
+    if (!without_body) {
+        response.body() = std::move(answer.body);
+        response.content_length(response.body().size());
+    }
+    set_connection_fields(state, response);
+    co_return co_await write_response(state, response);
+}
+
+answer_sink make_answer_sink(caller_connection_state& state, unsigned version) {
+    const auto writer =
+        std::make_shared<streaming_writer>(streaming_writer{state, version, {}, std::nullopt});
+    answer_sink sink;
+    sink.begin = [writer](const http::response_header<>& head, std::optional<std::uint64_t> length) {
+        return writer->begin(head, length);
+    };
+    sink.write = [writer](const char* data, std::size_t size) { return writer->write(data, size); };
+    sink.finish = [writer](bool whole) { return writer->finish(whole); };
+    return sink;
+}
+
+} // namespace cassiaspan
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "caller_session.h"
 
-#include "connection_pressure.h"
+#include "accept_loop.h"
+#include "caller_answers.h"
 #include "forwarding.h"
 #include "request_plan.h"
 
@@ -17,47 +18,10 @@
 constexpr std::size_t read_piece = 16 * 1024;
 // Time in which the rest of a closed connection's bytes is read, so that no reset overtakes the answer.
 constexpr milliseconds linger_time{500};
-// The time that is told to callers for idle connections is this part of the limit.
-constexpr int seconds_kept_back = 1;
 // Answers whose end is a failure of the VM or a target.
 constexpr unsigned first_failure_status = 500;
 
 using request_parser = http::request_parser<http::buffer_body>;
-using local_response = http::response<http::string_body>;
-
-// One connection and what it is in the middle of.
-struct caller_connection_state {
-    caller_connection_state(node_core& core_in, std::shared_ptr<tcp::socket> socket_in)
-        : core(core_in), socket(std::move(socket_in)) {}
-    node_core& core;
-    std::shared_ptr<tcp::socket> socket;
-    boost::beast::flat_buffer buffer;
-    bool keep_alive = true;
-    // How long the connection may stay idle, as the caller was told with the last answer.
-    std::optional<milliseconds> idle_timeout;
-};
-
-caller_limits limits_of(const node_core& core) {
-    return core.config ? core.config->rules().limits : caller_limits{};
-}
-
-idle_terms idle_terms_of(const node_core& core) {
-    return choose_idle_terms(core.open_caller_connections, core.settings.max_descriptors,
-                             limits_of(core).idle_timeout);
-}
-
-// Closes the socket when the caller takes too long.
-class socket_timeout {
-public:
-    socket_timeout(const caller_connection_state& state, milliseconds time)
-        : timeout(state.core.deadlines, now_of(state.core) + time, [socket = state.socket.get()] {
-              error_code ignored;
-              socket->close(ignored);
-          }) {}
-
-private:
-    deadline timeout;
-};
 
 // Waits for the first bytes of a request. False when the connection has ended or was idle for too long.
 asio::awaitable<bool> await_request(caller_connection_state& state) {
@@ -66,7 +30,8 @@
     if (state.buffer.size() > 0) {
         co_return true;
     }
-    const socket_timeout timeout(state, state.idle_timeout.value_or(limits_of(state.core).idle_timeout));
+    const socket_deadline timeout(state.core, state.socket,
+                                  state.idle_timeout.value_or(limits_of(state.core).idle_timeout));
     error_code error;
     const std::size_t count =
         co_await state.socket->async_read_some(state.buffer.prepare(first_read), into(error));
@@ -92,133 +57,6 @@
     co_return error_code{};
 }
 
-asio::awaitable<bool> write_response(caller_connection_state& state, local_response& response) {
-    const socket_timeout timeout(state, limits_of(state.core).idle_timeout);
-    error_code error;
-    co_await http::async_write(*state.socket, response, into(error));
-    co_return !error;
-}
-
-// Decides whether the connection outlives the answer, and tells the caller.
-template <class Response> void set_connection_fields(caller_connection_state& state, Response& response) {
-    // A stop may have begun since the request was read.
-    state.keep_alive = state.keep_alive && is_accepting(state.core);
-    response.keep_alive(state.keep_alive);
-    if (state.keep_alive) {
-        state.idle_timeout = idle_terms_of(state.core).idle_timeout;
-        const auto idle = std::chrono::floor<seconds>(*state.idle_timeout);
-        response.set(http::field::keep_alive, "timeout=" + std::to_string(std::max<std::int64_t>(
-                                                               1, idle.count() - seconds_kept_back)));
-    }
-}
-
-// Writes an answer of this VM's own.
-asio::awaitable<bool> write_local(caller_connection_state& state, const local_answer& answer,
-                                  unsigned version, const std::string& id) {
-    local_response response(static_cast<http::status>(answer.status), version);
-    response.set(http::field::content_type, "text/plain");
-    if (!id.empty()) {
-        response.set(state.core.platform.headers().request_id, id);
-    }
-    if (answer.retry_after) {
-        const double time = static_cast<double>(answer.retry_after->count()) / milliseconds::period::den;
-        response.set(http::field::retry_after, fmt::format("{:.3f}", time));
-    }
-    response.body() = answer.reason + "\n";
-    response.prepare_payload();
-    state.keep_alive = state.keep_alive && !idle_terms_of(state.core).close_after_refusal;
-    set_connection_fields(state, response);
-    co_return co_await write_response(state, response);
-}
-
-// Copies the target's head without what concerns its connection only.
-http::response_header<> copy_head(const http::response_header<>& source, unsigned version) {
-    http::response_header<> head;
-    head.version(version);
-    head.result(source.result_int());
-    head.reason(source.reason());
-    for (const auto& field : source) {
-        if (!is_hop_by_hop(source, field.name_string())) {
-            head.insert(field.name_string(), field.value());
-        }
-    }
-    return head;
-}
-
-asio::awaitable<bool> write_target_answer(caller_connection_state& state, target_answer answer,
-                                          const http::request_header<>& request) {
-    http::response<http::string_body> response(copy_head(answer.head, request.version()));
-    const unsigned status = answer.head.result_int();
-    const bool without_body = request.method() == http::verb::head || status == 204 || status == 304;
-    if (!without_body) {
-        response.body() = std::move(answer.body);
-        response.content_length(response.body().size());
-    }
-    set_connection_fields(state, response);
-    co_return co_await write_response(state, response);
-}
-
-// Passes a large answer on piece by piece.
-struct streaming_writer {
-    caller_connection_state& state;
-    unsigned version;
-    http::response<http::buffer_body> message;
-    std::optional<http::response_serializer<http::buffer_body>> serializer;
-
-    asio::awaitable<bool> begin(const http::response_header<>& head, std::optional<std::uint64_t> length) {
-        this->message.base() = copy_head(head, this->version);
-        this->message.erase(http::field::content_length);
-        if (length) {
-            this->message.content_length(*length);
-        } else if (this->version >= 11) {
-            this->message.chunked(true);
-        } else {
-            this->state.keep_alive = false;
-        }
-        set_connection_fields(this->state, this->message);
-        this->message.body().data = nullptr;
-        this->message.body().more = true;
-        this->serializer.emplace(this->message);
-        error_code error;
-        co_await http::async_write_header(*this->state.socket, *this->serializer, into(error));
-        co_return !error;
-    }
-
-    asio::awaitable<bool> write(const char* data, std::size_t size) {
-        this->message.body().data = const_cast<char*>(data);
-        this->message.body().size = size;
-        this->message.body().more = true;
-        const socket_timeout timeout(this->state, limits_of(this->state.core).idle_timeout);
-        error_code error;
-        co_await http::async_write(*this->state.socket, *this->serializer, into(error));
-        co_return !error || error == http::error::need_buffer;
-    }
-
-    asio::awaitable<void> finish(bool whole) {
-        error_code error;
-        if (!whole) {
-            // Without the last chunk, or short of its length, the answer does not look complete.
-            this->state.keep_alive = false;
-            this->state.socket->close(error);
-            co_return;
-        }
-        this->message.body().data = nullptr;
-        this->message.body().size = 0;
-        this->message.body().more = false;
-        co_await http::async_write(*this->state.socket, *this->serializer, into(error));
-    }
-};
-
-answer_sink make_sink(const std::shared_ptr<streaming_writer>& writer) {
-    answer_sink sink;
-    sink.begin = [writer](const http::response_header<>& head, std::optional<std::uint64_t> length) {
-        return writer->begin(head, length);
-    };
-    sink.write = [writer](const char* data, std::size_t size) { return writer->write(data, size); };
-    sink.finish = [writer](bool whole) { return writer->finish(whole); };
-    return sink;
-}
-
 // What a request became, for the log.
 struct request_end {
     unsigned status = 0;
@@ -288,11 +126,9 @@
     if (!request.has_more_body) {
         asio::co_spawn(core.context, watch_caller(state.socket, control), asio::detached);
     }
-    auto writer =
-        std::make_shared<streaming_writer>(streaming_writer{state, request.head.version(), {}, std::nullopt});
     body_source rest = request.has_more_body ? make_rest(state, parser) : body_source();
     ++core.requests_in_progress;
-    const answer_sink sink = make_sink(writer);
+    const answer_sink sink = make_answer_sink(state, request.head.version());
     forward_result result = co_await forward_request(core, request, plan, std::move(rest), control, sink);
     --core.requests_in_progress;
     control->finished = true;
@@ -323,7 +159,7 @@
     parser.body_limit(limits.max_body_bytes);
     error_code error;
     {
-        const socket_timeout timeout(state, limits.header_timeout);
+        const socket_deadline timeout(state.core, state.socket, limits.header_timeout);
         co_await http::async_read_header(*state.socket, state.buffer, parser, into(error));
     }
     if (!error) {
@@ -395,7 +231,7 @@
     if (error) {
         co_return;
     }
-    const socket_timeout timeout(state, linger_time);
+    const socket_deadline timeout(state.core, state.socket, linger_time);
     std::array<char, read_piece> rest; // NOLINT(cppcoreguidelines-pro-type-member-init): only skipped
     while (!error) {
         co_await state.socket->async_read_some(asio::buffer(rest), into(error));
@@ -424,22 +260,9 @@
 }
 
 asio::awaitable<void> accept_callers(node_core& core, tcp::acceptor& acceptor) {
-    constexpr milliseconds pause_without_descriptors{20};
-    for (;;) {
-        auto socket = std::make_shared<tcp::socket>(core.context);
-        error_code error;
-        co_await acceptor.async_accept(*socket, into(error));
-        if (!acceptor.is_open() || error == asio::error::operation_aborted) {
-            co_return;
-        }
-        if (error) {
-            core.log.write(now_of(core), node_event::internal_error,
-                           log_fields().add("what", "accept").add("why", error.message()));
-            co_await sleep_for(core.context, pause_without_descriptors);
-            continue;
-        }
-        asio::co_spawn(core.context, serve_caller(core, std::move(socket)), asio::detached);
-    }
+    return accept_connections(core, acceptor, [&core](std::shared_ptr<tcp::socket> socket) {
+        return serve_caller(core, std::move(socket));
+    });
 }
 
 } // namespace cassiaspan
--- a/packages/proxy/gossip.h
+++ b/packages/proxy/gossip.h
@@ -24,6 +24,7 @@
     void announce();
 
 private:
+    schema::Gossip next_report();
     void send_to_all(std::uint64_t round);
     void send_by_hubs(std::uint64_t round);
     void send_to_seeds(const std::string& datagram);
@@ -38,19 +39,4 @@
     std::unordered_map<std::uint32_t, std::uint64_t> reported_uses;
 };
 
-// Returns this VM's own record.
-[[nodiscard]] schema::VmRecord make_vm_record(const node_core& core);
-
-// Returns the datagram that tells the VM's state.
-[[nodiscard]] schema::Gossip make_gossip(const node_core& core, std::uint64_t sequence);
-
-// Takes in a datagram. Returns false when it is old, the VM's own or unreadable.
-bool take_gossip(node_core& core, const std::string& datagram);
-
-// Takes in one report and those that it relays. Returns false when the sender's is old or the VM's own.
-bool take_report(node_core& core, const schema::Gossip& gossip);
-
-// Forgets what VMs had in flight that have been silent for too long.
-void forget_silent_peers(node_core& core);
-
 } // namespace cassiaspan
--- a/packages/proxy/news_exchange.cpp
+++ b/packages/proxy/news_exchange.cpp
@@ -1,7 +1,9 @@
 #include "news_exchange.h"
 
+#include "accept_loop.h"
 #include "fleet_hubs.h"
 #include "h2_session.h"
+#include "socket_deadline.h"
 
 #include <algorithm>
 #include <array>
@@ -58,14 +60,7 @@
             session->submit_reply(stream, {news_code, answer_news(core, question.body)});
         }
     });
-    auto timer = std::make_shared<asio::steady_timer>(core.context);
-    timer->expires_after(idle_time);
-    timer->async_wait([socket](const error_code& error) {
-        if (!error) {
-            error_code ignored;
-            socket->close(ignored);
-        }
-    });
+    const socket_deadline timeout(core, socket, idle_time);
     bool good = true;
     while (good) {
         good = co_await receive(*socket, *session);
@@ -73,7 +68,6 @@
             good = co_await flush(*socket, *session);
         }
     }
-    timer->cancel();
 }
 
 const peer_vm* choose_source(const node_core& core) {
@@ -93,14 +87,7 @@
 
 asio::awaitable<bool> pull_from(node_core& core, socket_address address) {
     auto socket = std::make_shared<tcp::socket>(core.context);
-    auto timer = std::make_shared<asio::steady_timer>(core.context);
-    timer->expires_after(pull_timeout);
-    timer->async_wait([socket](const error_code& error) {
-        if (!error) {
-            error_code ignored;
-            socket->close(ignored);
-        }
-    });
+    const socket_deadline timeout(core, socket, pull_timeout);
     error_code error;
     co_await socket->async_connect(tcp_endpoint(address), into(error));
     std::string answer;
@@ -120,7 +107,6 @@
             }
         }
     }
-    timer->cancel();
     schema::StoreChanges news;
     if (!answered || !news.ParseFromString(answer)) {
         co_return false;
@@ -166,17 +152,9 @@
 }
 
 asio::awaitable<void> serve_news(node_core& core, tcp::acceptor& acceptor) {
-    for (;;) {
-        auto socket = std::make_shared<tcp::socket>(core.context);
-        error_code error;
-        co_await acceptor.async_accept(*socket, into(error));
-        if (!acceptor.is_open() || error == asio::error::operation_aborted) {
-            co_return;
-        }
-        if (!error) {
-            asio::co_spawn(core.context, serve_peer(core, std::move(socket)), asio::detached);
-        }
-    }
+    return accept_connections(core, acceptor, [&core](std::shared_ptr<tcp::socket> socket) {
+        return serve_peer(core, std::move(socket));
+    });
 }
 
 asio::awaitable<void> pull_news(node_core& core) {
--- a/packages/proxy/node_log.cpp
+++ b/packages/proxy/node_log.cpp
@@ -32,11 +32,6 @@
     }
 }
 
-std::int64_t unix_milliseconds() {
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<milliseconds>(since_epoch).count();
-}
-
 } // namespace
 
 log_fields& log_fields::add(std::string_view name, std::string_view text) {
--- a/packages/proxy/small_http_service.cpp
+++ b/packages/proxy/small_http_service.cpp
@@ -1,5 +1,8 @@
 #include "small_http_service.h"
 
+#include "accept_loop.h"
+#include "socket_deadline.h"
+
 #include <algorithm>
 
 namespace cassiaspan {
@@ -18,14 +21,7 @@
     boost::beast::flat_buffer buffer;
     bool keep_alive = true;
     while (keep_alive) {
-        auto timer = std::make_shared<asio::steady_timer>(core.context);
-        timer->expires_after(idle_time);
-        timer->async_wait([socket](const error_code& error) {
-            if (!error) {
-                error_code ignored;
-                socket->close(ignored);
-            }
-        });
+        const socket_deadline timeout(core, socket, idle_time);
         http::request_parser<http::empty_body> parser;
         parser.header_limit(max_head_bytes);
         error_code error;
@@ -36,7 +32,6 @@
             response.prepare_payload();
             co_await http::async_write(*socket, response, into(error));
         }
-        timer->cancel();
         keep_alive = !error && parser.get().keep_alive();
     }
     error_code ignored;
@@ -57,17 +52,9 @@
 } // namespace
 
 asio::awaitable<void> serve_small_requests(node_core& core, tcp::acceptor& acceptor, small_handler handler) {
-    for (;;) {
-        auto socket = std::make_shared<tcp::socket>(core.context);
-        error_code error;
-        co_await acceptor.async_accept(*socket, into(error));
-        if (!acceptor.is_open() || error == asio::error::operation_aborted) {
-            co_return;
-        }
-        if (!error) {
-            asio::co_spawn(core.context, serve_connection(core, std::move(socket), handler), asio::detached);
-        }
-    }
+    return accept_connections(core, acceptor, [&core, handler](std::shared_ptr<tcp::socket> socket) {
+        return serve_connection(core, std::move(socket), handler);
+    });
 }
 
 small_response answer_ready_check(const node_core& core, const small_request& request) {
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -6,6 +6,7 @@
 #include "small_http_service.h"
 #include "store_watcher.h"
 #include "target_connections.h"
+#include "vm_report.h"
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
@@ -191,11 +192,6 @@
     asio::signal_set signals;
 };
 
-std::uint64_t unix_milliseconds() {
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
-}
-
 } // namespace
 
 tl::expected<void, std::string> run_node(const clock& time, const node_settings& settings,
@@ -203,7 +199,7 @@
                                          node_log& log) {
     std::signal(SIGPIPE, SIG_IGN);
     node_core core(time, settings, platform, log);
-    core.started_ms = unix_milliseconds();
+    core.started_ms = static_cast<std::uint64_t>(unix_milliseconds());
     running_node node(core, make_store);
     if (const auto opened = node.open(); !opened) {
         return opened;
--- a/packages/proxy/store_watcher.cpp
+++ b/packages/proxy/store_watcher.cpp
@@ -1,7 +1,7 @@
 #include "store_watcher.h"
 
 #include "fleet_hubs.h"
-#include "gossip.h"
+#include "vm_report.h"
 
 #include <algorithm>
 
