--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -14,8 +14,8 @@
 
 // Bodies up to this size are read before a target is chosen, so that no slot waits for the caller and the
 // request can be sent again.
-constexpr std::size_t max_buffered_body = 512 * 1024;
-constexpr std::size_t read_piece = 16 * 1024;
+constexpr std::size_t max_buffered_body = std::size_t{512} * 1024;
+constexpr std::size_t read_piece = std::size_t{16} * 1024;
 // Time in which the rest of a closed connection's bytes is read, so that no reset overtakes the answer.
 constexpr milliseconds linger_time{500};
 // Answers whose end is a failure of the VM or a target.
--- a/packages/proxy/news_exchange.cpp
+++ b/packages/proxy/news_exchange.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds check_interval{100};
 constexpr milliseconds pull_timeout{1000};
 constexpr milliseconds peer_silence{1000};
-constexpr std::size_t read_piece = 16 * 1024;
+constexpr std::size_t read_piece = std::size_t{16} * 1024;
 // Streams of one peer's connection are few; an idle connection is closed after this time.
 constexpr milliseconds idle_time{10'000};
 
@@ -55,7 +55,7 @@
 asio::awaitable<void> serve_peer(node_core& core, std::shared_ptr<tcp::socket> socket) {
     set_stream_options(*socket, peer_silence);
     std::unique_ptr<h2_session> session;
-    session = h2_session::make_server([&core, &session](std::int32_t stream, peer_message question) {
+    session = h2_session::make_server([&core, &session](std::int32_t stream, const peer_message& question) {
         if (question.code == news_code) {
             session->submit_reply(stream, {news_code, answer_news(core, question.body)});
         }
--- a/packages/proxy/node_log.cpp
+++ b/packages/proxy/node_log.cpp
@@ -2,7 +2,6 @@
 
 #include <cerrno>
 #include <fcntl.h>
-#include <time.h>
 #include <unistd.h>
 
 namespace cassiaspan {
@@ -10,7 +9,7 @@
 namespace {
 
 // Buffered bytes that may wait for a slow reader of the log.
-constexpr std::size_t max_buffered_bytes = 64 * 1024;
+constexpr std::size_t max_buffered_bytes = std::size_t{64} * 1024;
 // Lines about single requests in one second.
 constexpr std::size_t max_request_lines_per_second = 400;
 
--- a/packages/proxy/small_http_service.cpp
+++ b/packages/proxy/small_http_service.cpp
@@ -52,9 +52,10 @@
 } // namespace
 
 asio::awaitable<void> serve_small_requests(node_core& core, tcp::acceptor& acceptor, small_handler handler) {
-    return accept_connections(core, acceptor, [&core, handler](std::shared_ptr<tcp::socket> socket) {
-        return serve_connection(core, std::move(socket), handler);
-    });
+    return accept_connections(core, acceptor,
+                              [&core, handler = std::move(handler)](std::shared_ptr<tcp::socket> socket) {
+                                  return serve_connection(core, std::move(socket), handler);
+                              });
 }
 
 small_response answer_ready_check(const node_core& core, const small_request& request) {
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -201,7 +201,7 @@
     node_core core(time, settings, platform, log);
     core.started_ms = static_cast<std::uint64_t>(unix_milliseconds());
     running_node node(core, make_store);
-    if (const auto opened = node.open(); !opened) {
+    if (auto opened = node.open(); !opened) {
         return opened;
     }
     log.write(now_of(core), node_event::started,
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -12,11 +12,11 @@
 
 // Answers up to this size are read whole before the caller gets the first byte, so that one that breaks off
 // can still be replaced.
-constexpr std::size_t max_buffered_answer = 64 * 1024;
-constexpr std::size_t read_piece = 16 * 1024;
+constexpr std::size_t max_buffered_answer = std::size_t{64} * 1024;
+constexpr std::size_t read_piece = std::size_t{16} * 1024;
 constexpr std::uint32_t max_answer_header_bytes = 64 * 1024;
 // Requests up to this size fit into the socket's buffer: they are written before the answer is awaited.
-constexpr std::size_t max_inline_request = 8 * 1024;
+constexpr std::size_t max_inline_request = std::size_t{8} * 1024;
 // A request that may not be repeated only goes onto a kept connection that was in use just before.
 constexpr milliseconds fresh_idle_time{1500};
 constexpr milliseconds any_idle_time{60'000};
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -109,6 +109,7 @@
         }
     }
     keep_open_regions(core, targets, now);
+    candidates.reserve(targets.size());
     for (const target_ptr& target : targets) {
         candidates.push_back(describe(core, *target, usual, plan.affinity, now));
     }
--- a/packages/proxy/target_table.cpp
+++ b/packages/proxy/target_table.cpp
@@ -59,7 +59,8 @@
 void target_table::expire(instant now) {
     std::vector<std::string> gone;
     for (const auto& [id, target] : this->by_id) {
-        if (target->removed_at && *target->removed_at <= now) {
+        const std::optional<instant> when = target->removed_at;
+        if (when && *when <= now) {
             gone.push_back(id);
         }
     }
