Close idle target connections before the event loop ends

Cause: found by the sanitizer run of 'a planned stop cuts no request': kept connections were destroyed after the loop that they belong to (use after free at exit, after the last answer). Before: that row failed under the address sanitizer.

--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -211,6 +211,7 @@
                   .add("region", settings.region));
     node.start();
     core.context.run();
+    core.targets.close_idle_connections();
     return {};
 }
 
--- a/packages/proxy/target_table.cpp
+++ b/packages/proxy/target_table.cpp
@@ -69,6 +69,12 @@
     }
 }
 
+void target_table::close_idle_connections() {
+    for (const auto& [id, target] : this->by_id) {
+        target->idle_connections.clear();
+    }
+}
+
 void target_table::drop(const std::string& id) {
     const auto found = this->by_id.find(id);
     const target_ptr target = found->second;
--- a/packages/proxy/target_table.h
+++ b/packages/proxy/target_table.h
@@ -66,6 +66,8 @@
     void remove(const std::string& id, instant when);
     // Drops targets whose time has come.
     void expire(instant now);
+    // Closes all idle connections, before the event loop that they belong to ends.
+    void close_idle_connections();
 
     [[nodiscard]] const std::vector<target_ptr>& of_service(const std::string& service) const;
     [[nodiscard]] target_ptr find_by_hash(std::uint32_t identity_low) const;
