--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -58,17 +58,17 @@
     const auto comes_first = [&](const placement_candidate& left, const placement_candidate& right) {
         return order_of(left, request) < order_of(right, request);
     };
-    const auto home = std::min_element(candidates.begin(), candidates.end(), comes_first);
+    const auto primary = std::min_element(candidates.begin(), candidates.end(), comes_first);
     const bool any_used = std::any_of(candidates.begin(), candidates.end(),
                                       [](const placement_candidate& each) { return each.used_lately; });
-    const bool trust_home = request.explore || !any_used;
+    const bool trust_primary = request.explore || !any_used;
     std::optional<std::size_t> best;
     prospect best_seen;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const bool is_home = home - candidates.begin() == static_cast<std::ptrdiff_t>(i);
-        const bool is_warm = !request.key || candidates[i].used_lately || (is_home && trust_home);
+        const bool is_primary = primary - candidates.begin() == static_cast<std::ptrdiff_t>(i);
+        const bool is_warm = !request.key || candidates[i].used_lately || (is_primary && trust_primary);
         const prospect seen = look_at(candidates[i], request, is_warm);
-        if (!seen.has_room && !is_home) {
+        if (!seen.has_room && !is_primary) {
             continue;
         }
         const auto rank = [&](std::size_t index, const prospect& each) {
@@ -80,7 +80,7 @@
             best_seen = seen;
         }
     }
-    // The home is always among those with room.
+    // The primary target is always among those with room.
     const auto finish = milliseconds(static_cast<std::int64_t>(best_seen.finish));
     const bool is_useful = best_seen.has_free_slot || finish <= request.patience;
     return {is_useful ? best : std::nullopt, finish};
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -1,11 +1,11 @@
 // Chooses the target of a request by expected finish and by what the targets have handled lately.
 //
 // Every key has its own order of all targets (highest random weight; Thaler and Ravishankar, 1996), near
-// regions first. The first of them is the key's home, which is presumed to be warm for it unless another
-// target is known to be. A copy elsewhere costs a slow run that pushes other objects out, so that under load
-// copies breed more slow runs: a request goes to a target that is not warm for it only when waiting at the
-// warm ones takes longer than that run and the target has room to spare. Keys thereby keep to few targets,
-// also while a region is short of room.
+// regions first. The first of them is the key's primary target, which is presumed to be warm for it unless
+// another target is known to be. A copy elsewhere costs a slow run that pushes other objects out, so that
+// under load copies breed more slow runs: a request goes to a target that is not warm for it only when
+// waiting at the warm ones takes longer than that run and the target has room to spare. Keys thereby keep to
+// few targets, also while a region is short of room.
 #pragma once
 
 #include "clock.h"
@@ -46,8 +46,8 @@
     // Usual time of a request at a target that is warm for its object, and at one that is not.
     milliseconds warm_time{};
     milliseconds cold_time{};
-    // Sends the request to the key's home even when another target is known to be warm, so that a target that
-    // has joined gets its part of the objects.
+    // Sends the request to the key's primary target even when another target is known to be warm, so that a
+    // target that has joined gets its part of the objects.
     bool explore = false;
     // Longest expected finish, counted from now, for which waiting at a target is of use.
     milliseconds patience{};
--- a/packages/proxy/gossip.cpp
+++ b/packages/proxy/gossip.cpp
@@ -21,11 +21,11 @@
 constexpr std::size_t max_datagram = 60'000;
 // In a large fleet, VMs report to their hubs every so many rounds.
 constexpr std::uint64_t report_rounds = 2;
-// The second hub of a region relays every so many rounds, so that VMs are still heard when the first one
+// The second hub of a region forwards every so many rounds, so that VMs are still heard when the first one
 // ends.
 constexpr std::uint64_t standby_rounds = 3 * far_rounds;
 // Reports that a hub passes on in one datagram.
-constexpr int max_relayed = 24;
+constexpr int max_forwarded = 24;
 
 // Adds the records of some VMs, others each time.
 void add_others(const node_core& core, schema::Gossip& gossip, std::uint64_t sequence) {
@@ -177,11 +177,11 @@
     }
     const bool is_first = !hubs.empty() && hubs.front() == this->core.settings.vm;
     if (round % far_rounds == 0 && (is_first || (round % standby_rounds == 0 && is_hub(this->core)))) {
-        this->relay(own);
+        this->forward_reports(own);
     }
 }
 
-void gossip_socket::relay(const schema::Gossip& own) {
+void gossip_socket::forward_reports(const schema::Gossip& own) {
     const std::set<std::string> far_hubs = far_hubs_of(this->core);
     const bool whole = own.sequence() % full_record_rounds < far_rounds;
     std::vector<std::string> region_reports{own.SerializeAsString()};
@@ -189,9 +189,9 @@
     schema::Gossip region_part = own;
     schema::Gossip far_part = own;
     const auto flush = [](schema::Gossip& part, std::vector<std::string>& reports) {
-        if (part.relayed_size() > 0) {
+        if (part.forwarded_size() > 0) {
             reports.push_back(part.SerializeAsString());
-            part.clear_relayed();
+            part.clear_forwarded();
         }
     };
     for (auto& [name, peer] : this->core.peers.by_name) {
@@ -200,8 +200,8 @@
         }
         const bool is_near = peer.region == this->core.settings.region;
         schema::Gossip& part = is_near ? region_part : far_part;
-        *part.add_relayed() = make_relayed(peer, is_near, whole);
-        if (part.relayed_size() >= max_relayed) {
+        *part.add_forwarded() = make_forwarded(peer, is_near, whole);
+        if (part.forwarded_size() >= max_forwarded) {
             if (is_near) {
                 flush(region_part, region_reports);
             } else {
--- a/packages/proxy/gossip.h
+++ b/packages/proxy/gossip.h
@@ -29,7 +29,7 @@
     void send_by_hubs(std::uint64_t round);
     void send_to_seeds(const std::string& datagram);
     // Passes on what was reported, to the own region's VMs and to the other regions' hubs.
-    void relay(const schema::Gossip& own);
+    void forward_reports(const schema::Gossip& own);
     void send_to(const socket_address& address, const std::string& datagram);
 
     node_core& core;
--- a/packages/proxy/header_names.h
+++ b/packages/proxy/header_names.h
@@ -23,8 +23,6 @@
     std::string target_load;
     // A target's statement that it did not run the request.
     std::string not_executed;
-    // The identity of the target that answers.
-    std::string answering_instance;
     // Milliseconds that the answering target stays cold.
     std::string cold_ms;
     auto operator<=>(const header_names&) const = default;
--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -39,7 +39,7 @@
     std::unordered_map<std::uint32_t, std::uint32_t> target_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> workspace_uses;
     // What of it this VM, as a hub, has passed on.
-    std::unordered_map<std::uint32_t, std::uint64_t> relayed_uses;
+    std::unordered_map<std::uint32_t, std::uint64_t> forwarded_uses;
 };
 
 struct peer_table {
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds near_round_trip{2};
 constexpr milliseconds far_round_trip{60};
 
-// One request in so many goes to its key's home although another target is known to be warm.
+// One request in so many goes to its key's primary target although another target is known to be warm.
 constexpr std::uint64_t exploring_share = 16;
 // A slow run is taken to be this many times longer until one was measured.
 constexpr int unknown_cold_factor = 3;
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -102,32 +102,32 @@
     return !gossip.sender().gossip_address().empty();
 }
 
-schema::Gossip make_relayed(peer_vm& peer, bool is_near, bool whole) {
-    schema::Gossip relayed;
-    relayed.mutable_sender()->set_name(peer.name);
-    relayed.mutable_sender()->set_started_ms(peer.started_ms);
-    relayed.set_sequence(peer.sequence);
-    relayed.set_accepting(peer.accepting);
-    relayed.set_store_revision(peer.store_revision);
+schema::Gossip make_forwarded(peer_vm& peer, bool is_near, bool whole) {
+    schema::Gossip forwarded;
+    forwarded.mutable_sender()->set_name(peer.name);
+    forwarded.mutable_sender()->set_started_ms(peer.started_ms);
+    forwarded.set_sequence(peer.sequence);
+    forwarded.set_accepting(peer.accepting);
+    forwarded.set_store_revision(peer.store_revision);
     // VMs of one region share its targets; loads elsewhere matter less than the bytes that telling them
     // takes.
     if (is_near) {
         for (const auto& [target, in_flight] : peer.target_uses) {
-            schema::TargetUse& use = *relayed.add_target_uses();
+            schema::TargetUse& use = *forwarded.add_target_uses();
             use.set_target(target);
             use.set_in_flight(in_flight);
         }
     }
     for (const auto& [workspace, admitted] : peer.workspace_uses) {
-        std::uint64_t& told = peer.relayed_uses[workspace];
+        std::uint64_t& told = peer.forwarded_uses[workspace];
         if (whole || told != admitted) {
-            schema::WorkspaceUse& use = *relayed.add_workspace_uses();
+            schema::WorkspaceUse& use = *forwarded.add_workspace_uses();
             use.set_workspace(workspace);
             use.set_admitted(admitted);
             told = admitted;
         }
     }
-    return relayed;
+    return forwarded;
 }
 
 bool take_gossip(node_core& core, const std::string& datagram) {
@@ -140,8 +140,8 @@
         return false;
     }
     const instant now = now_of(core);
-    for (const schema::Gossip& relayed : gossip.relayed()) {
-        take_report(core, relayed);
+    for (const schema::Gossip& forwarded : gossip.forwarded()) {
+        take_report(core, forwarded);
     }
     for (const schema::VmRecord& other : gossip.others()) {
         if (other.name() != core.settings.vm) {
--- a/packages/proxy/vm_report.h
+++ b/packages/proxy/vm_report.h
@@ -19,12 +19,12 @@
 
 // Returns another VM's report as a hub passes it on: the uses that have grown since it last did, or all.
 // Loads at targets are only passed on for VMs of the own region.
-[[nodiscard]] schema::Gossip make_relayed(peer_vm& peer, bool is_near, bool whole);
+[[nodiscard]] schema::Gossip make_forwarded(peer_vm& peer, bool is_near, bool whole);
 
 // Takes in a datagram. Returns false when it is unreadable, old, or the VM's own.
 bool take_gossip(node_core& core, const std::string& datagram);
 
-// Takes in one report and those that it relays. Returns false when the sender's is old or the VM's own.
+// Takes in one report and those that it forwards. Returns false when the sender's is old or the VM's own.
 bool take_report(node_core& core, const schema::Gossip& gossip);
 
 // Forgets what VMs had in flight that have been silent for too long.
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -33,7 +33,7 @@
 };
 
 void check_choice(const choice_row& row) {
-    // Key 7 has its home at identity 11 among 11 and 12; the row "home" pins that.
+    // The candidates stand around the primary target of key 7, which primary_of_seven() finds.
     const placement placed = place_request(row.candidates, {7, warm, cold, row.explore, row.patience});
     CPPUNIT_ASSERT_EQUAL(row.expected, placed.index ? static_cast<int>(*placed.index) : -1);
 }
@@ -48,53 +48,53 @@
     return candidate;
 }
 
-int home_of_seven() {
+int primary_of_seven() {
     const std::vector<placement_candidate> pair{target(11, 0), target(12, 0)};
     return static_cast<int>(*place_request(pair, {7, warm, cold, false, milliseconds(1000)}).index);
 }
 
 std::vector<choice_row> make_choice_rows() {
-    const std::uint64_t home = home_of_seven() == 0 ? 11 : 12;
-    const std::uint64_t other = 23 - home;
+    const std::uint64_t primary = primary_of_seven() == 0 ? 11 : 12;
+    const std::uint64_t other = 23 - primary;
     const milliseconds patient{1000};
     return {
         {"nothing to choose from", {}, false, patient, -1},
-        {"the home while it has a slot", {target(home, 3), target(other, 0)}, false, patient, 0},
-        {"waits at the home rather than run cold elsewhere",
-         {target(home, 6), target(other, 0)},
+        {"the primary target while it has a slot", {target(primary, 3), target(other, 0)}, false, patient, 0},
+        {"waits at the primary target rather than run cold elsewhere",
+         {target(primary, 6), target(other, 0)},
          false,
          patient,
          0},
         {"runs cold elsewhere when the wait is longer",
-         {target(home, 60), target(other, 0)},
+         {target(primary, 60), target(other, 0)},
          false,
          patient,
          1},
         {"never cold on a target without room to spare",
-         {target(home, 12), target(other, 3)},
+         {target(primary, 12), target(other, 3)},
          false,
          patient,
          0},
-        {"the known warm target before the home",
-         {target(home, 0), used(target(other, 0))},
+        {"the known warm target before the primary target",
+         {target(primary, 0), used(target(other, 0))},
          false,
          patient,
          1},
-        {"explores the home", {target(home, 0), used(target(other, 2))}, true, patient, 0},
+        {"explores the primary target", {target(primary, 0), used(target(other, 2))}, true, patient, 0},
         {"a far warm target when the near one is full",
-         {used(target(home, 30)), used(target(other, 0, false))},
+         {used(target(primary, 30)), used(target(other, 0, false))},
          false,
          patient,
          1},
-        {"a near target before a far one", {target(home, 0, false), target(other, 0)}, false, patient, 1},
+        {"a near target before a far one", {target(primary, 0, false), target(other, 0)}, false, patient, 1},
         {"a doubtful target only without another",
-         {doubtful(target(home, 0)), target(other, 0)},
+         {doubtful(target(primary, 0)), target(other, 0)},
          false,
          patient,
          1},
-        {"the only one, though doubtful", {doubtful(target(home, 0))}, false, patient, 0},
-        {"refuses when no target finishes in time", {target(home, 40)}, false, milliseconds(300), -1},
-        {"a free slot is used even when the run is late", {target(home, 3)}, false, milliseconds(10), 0},
+        {"the only one, though doubtful", {doubtful(target(primary, 0))}, false, patient, 0},
+        {"refuses when no target finishes in time", {target(primary, 40)}, false, milliseconds(300), -1},
+        {"a free slot is used even when the run is late", {target(primary, 3)}, false, milliseconds(10), 0},
     };
 }
 
