Hold the serializer of a streamed answer by pointer: lint found an unchecked optional

Ruled out: others, as that run linted all files of the adapter and the proxy. Before: lint failed. After: that file is clean, test_node 88 of 88.

--- a/packages/proxy/caller_answers.cpp
+++ b/packages/proxy/caller_answers.cpp
@@ -57,7 +57,7 @@
     caller_connection_state& state;
     unsigned version;
     http::response<http::buffer_body> message;
-    std::optional<http::response_serializer<http::buffer_body>> serializer;
+    std::unique_ptr<http::response_serializer<http::buffer_body>> serializer;
 
     asio::awaitable<bool> begin(const http::response_header<>& head, std::optional<std::uint64_t> length) {
         this->message.base() = copy_head(head, this->version);
@@ -72,7 +72,7 @@
         set_connection_fields(this->state, this->message);
         this->message.body().data = nullptr;
         this->message.body().more = true;
-        this->serializer.emplace(this->message);
+        this->serializer = std::make_unique<http::response_serializer<http::buffer_body>>(this->message);
         error_code error;
         co_await http::async_write_header(*this->state.socket, *this->serializer, into(error));
         co_return !error;
@@ -142,8 +142,7 @@
 }
 
 answer_sink make_answer_sink(caller_connection_state& state, unsigned version) {
-    const auto writer =
-        std::make_shared<streaming_writer>(streaming_writer{state, version, {}, std::nullopt});
+    const auto writer = std::make_shared<streaming_writer>(streaming_writer{state, version, {}, nullptr});
     answer_sink sink;
     sink.begin = [writer](const http::response_header<>& head, std::optional<std::uint64_t> length) {
         return writer->begin(head, length);
