Make one piece of what stood twice: merging changes, reporting failures, counting closed connections

Found by reading the whole change again: the merge of store changes stood three times, the report of an unexpected failure twice, the count of a closed target connection twice; a hub worked out its region's hubs twice a round and the condition for whole reports apart from where it is decided; each request's body was copied once more than needed. Dropped as dead: a setting that nothing set, a time that nothing read, an event that nothing wrote.

--- a/packages/policy/store_mirror.cpp
+++ b/packages/policy/store_mirror.cpp
@@ -1,6 +1,8 @@
 #include "store_mirror.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 
 namespace cassiaspan {
 
@@ -13,15 +15,19 @@
     return true;
 }
 
+std::vector<store_change> merge_changes(store_mirror& mirror, const std::vector<store_change>& changes) {
+    std::vector<store_change> fresh;
+    std::copy_if(changes.begin(), changes.end(), std::back_inserter(fresh),
+                 [&mirror](const store_change& change) { return merge_change(mirror, change); });
+    return fresh;
+}
+
 std::vector<store_change> merge_full_read(store_mirror& mirror, const std::vector<store_change>& items,
                                           std::uint64_t revision) {
-    std::vector<store_change> fresh;
-    std::map<std::string_view, bool> present;
+    std::vector<store_change> fresh = merge_changes(mirror, items);
+    std::set<std::string_view> present;
     for (const store_change& change : items) {
-        present.emplace(change.key, true);
-        if (merge_change(mirror, change)) {
-            fresh.push_back(change);
-        }
+        present.insert(change.key);
     }
     for (auto& [key, item] : mirror.items) {
         if (!item.removed && item.revision <= revision && present.count(key) == 0) {
--- a/packages/policy/store_mirror.h
+++ b/packages/policy/store_mirror.h
@@ -37,6 +37,10 @@
 // Takes in one change. Returns false when the mirror knows as new a revision of the key already.
 bool merge_change(store_mirror& mirror, const store_change& change);
 
+// Takes in changes. Returns those that were new.
+[[nodiscard]] std::vector<store_change> merge_changes(store_mirror& mirror,
+                                                      const std::vector<store_change>& changes);
+
 // Takes in a complete read of the store at `revision`: items that it lacks are removed. Returns the changes
 // that were new.
 [[nodiscard]] std::vector<store_change>
--- a/packages/proxy/accept_loop.cpp
+++ b/packages/proxy/accept_loop.cpp
@@ -6,16 +6,6 @@
 
 constexpr milliseconds pause_without_descriptors{20};
 
-// Logs what ended a connection's service unexpectedly, such as a lack of memory.
-void report_failure(node_core& core, const std::exception_ptr& failure) {
-    try {
-        std::rethrow_exception(failure);
-    } catch (const std::exception& error) {
-        core.log.write(now_of(core), node_event::internal_error,
-                       log_fields().add("what", "connection").add("why", error.what()));
-    }
-}
-
 } // namespace
 
 asio::awaitable<void> accept_connections(node_core& core, tcp::acceptor& acceptor,
@@ -35,7 +25,7 @@
         }
         asio::co_spawn(core.context, handler(std::move(socket)), [&core](const std::exception_ptr& failure) {
             if (failure) {
-                report_failure(core, failure);
+                log_failure(core, "connection", failure);
             }
         });
     }
--- a/packages/proxy/gossip.cpp
+++ b/packages/proxy/gossip.cpp
@@ -175,15 +175,16 @@
             this->send_to(this->core.peers.by_name.at(hub).gossip_address, report);
         }
     }
-    const bool is_first = !hubs.empty() && hubs.front() == this->core.settings.vm;
-    if (round % far_rounds == 0 && (is_first || (round % standby_rounds == 0 && is_hub(this->core)))) {
+    const auto own_rank = std::find(hubs.begin(), hubs.end(), this->core.settings.vm);
+    const std::uint64_t rounds = own_rank == hubs.begin() ? far_rounds : standby_rounds;
+    if (own_rank != hubs.end() && round % rounds == 0) {
         this->forward_reports(own);
     }
 }
 
 void gossip_socket::forward_reports(const schema::Gossip& own) {
     const std::set<std::string> far_hubs = far_hubs_of(this->core);
-    const bool whole = own.sequence() % full_record_rounds < far_rounds;
+    const bool whole = tells_addresses(own);
     std::vector<std::string> region_reports{own.SerializeAsString()};
     std::vector<std::string> all_reports = region_reports;
     schema::Gossip region_part = own;
--- a/packages/proxy/news_exchange.cpp
+++ b/packages/proxy/news_exchange.cpp
@@ -143,8 +143,7 @@
     if (news.complete()) {
         fresh = merge_full_read(core.mirror, changes, news.revision());
     } else {
-        std::copy_if(changes.begin(), changes.end(), std::back_inserter(fresh),
-                     [&core](const store_change& change) { return merge_change(core.mirror, change); });
+        fresh = merge_changes(core.mirror, changes);
         core.mirror.revision = news.revision();
     }
     ++core.metrics.news_pulled;
--- a/packages/proxy/node_core.cpp
+++ b/packages/proxy/node_core.cpp
@@ -149,4 +149,13 @@
     return {core.peers.by_name.size() + 1, static_cast<std::size_t>(heard) + 1};
 }
 
+void log_failure(node_core& core, std::string_view what, const std::exception_ptr& failure) {
+    try {
+        std::rethrow_exception(failure);
+    } catch (const std::exception& error) {
+        core.log.write(now_of(core), node_event::internal_error,
+                       log_fields().add("what", what).add("why", error.what()));
+    }
+}
+
 } // namespace cassiaspan
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -18,11 +18,13 @@
 #include "target_table.h"
 #include "traffic_split.h"
 
+#include <exception>
 #include <map>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace cassiaspan {
@@ -74,10 +76,9 @@
     std::uint64_t started_ms = 0;
 
     store_mirror mirror;
-    // When the store last answered, and whether its last answer was a failure.
-    instant store_answered;
-    instant store_failed_since;
+    // Whether the store's last answer was a failure, since when, and when it last came back.
     bool store_is_lost = false;
+    instant store_failed_since;
     instant store_regained;
 
     std::shared_ptr<const steering_config> config;
@@ -121,6 +122,9 @@
 // Returns how many VMs share budgets, and how many of them report.
 [[nodiscard]] bucket_sharers sharers_of(const node_core& core);
 
+// Logs what ended a part of the VM, or a connection's service, unexpectedly.
+void log_failure(node_core& core, std::string_view what, const std::exception_ptr& failure);
+
 // Returns whether the VM may take new work.
 [[nodiscard]] inline bool is_accepting(const node_core& core) {
     return core.phase == node_phase::serving;
--- a/packages/proxy/node_log.h
+++ b/packages/proxy/node_log.h
@@ -30,7 +30,6 @@
     request_failed = 632,
     attempt_failed = 633,
     caller_left = 634,
-    request_quarantined = 635,
     lines_dropped = 690,
     internal_error = 699
 };
--- a/packages/proxy/node_settings.h
+++ b/packages/proxy/node_settings.h
@@ -36,8 +36,6 @@
     repeat_terms repeats;
     // How fast requests may move between regions.
     shift_terms shifts;
-    // Part of a cold target's rate that may be used.
-    double cold_overage = 1;
     // Time between SIGTERM and SIGKILL.
     milliseconds stop_grace{6000};
     // Longest time that a look-up may be cached.
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -88,20 +88,11 @@
     void spawn(asio::awaitable<void> part) {
         asio::co_spawn(this->core.context, std::move(part), [this](const std::exception_ptr& failure) {
             if (failure) {
-                this->report(failure);
+                log_failure(this->core, "a part has ended", failure);
             }
         });
     }
 
-    void report(const std::exception_ptr& failure) {
-        try {
-            std::rethrow_exception(failure);
-        } catch (const std::exception& error) {
-            this->core.log.write(now_of(this->core), node_event::internal_error,
-                                 log_fields().add("what", "a part has ended").add("why", error.what()));
-        }
-    }
-
     template <class Answer> void serve_small(tcp::acceptor& acceptor, Answer answer) {
         if (acceptor.is_open()) {
             this->spawn(
--- a/packages/proxy/store_watcher.cpp
+++ b/packages/proxy/store_watcher.cpp
@@ -37,7 +37,6 @@
                            log_fields().add("away_ms", away.count()).add("revision", core.mirror.revision));
         }
         core.store_is_lost = false;
-        core.store_answered = now;
         return;
     }
     if (!core.store_is_lost) {
@@ -69,12 +68,7 @@
 }
 
 void take_events(node_core& core, const store_read& events) {
-    std::vector<store_change> fresh;
-    for (const store_change& change : events.changes) {
-        if (merge_change(core.mirror, change)) {
-            fresh.push_back(change);
-        }
-    }
+    const std::vector<store_change> fresh = merge_changes(core.mirror, events.changes);
     core.mirror.revision = std::max(core.mirror.revision, events.revision);
     apply_changes(core, fresh);
     trim_removals(core.mirror, kept_removals);
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -370,7 +370,7 @@
         result.detail = "no connection";
     }
     if (connection) {
-        target->open_connections -= target->open_connections > 0 ? 1 : 0;
+        count_closed(*target);
     }
     --target->in_flight;
     result.load = load;
--- a/packages/proxy/target_attempt.h
+++ b/packages/proxy/target_attempt.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cassiaspan {
 
@@ -29,7 +30,8 @@
 // What is sent to a target.
 struct outgoing_request {
     http::request_header<> head;
-    std::string body;
+    // The buffered part of the body; the caller's request holds it.
+    std::string_view body;
     // Where the rest of the body comes from, when `body` is not all.
     body_source rest;
     // Length of the whole body; nothing when it is only known at its end.
--- a/packages/proxy/target_connections.cpp
+++ b/packages/proxy/target_connections.cpp
@@ -38,10 +38,6 @@
                                                     : connection.keep_alive / keep_alive_divisor;
 }
 
-void drop_connection(known_target& target) {
-    target.open_connections -= target.open_connections > 0 ? 1 : 0;
-}
-
 } // namespace
 
 std::unique_ptr<target_connection> take_idle_connection(known_target& target, instant now,
@@ -53,7 +49,7 @@
         if (idle <= std::min(max_idle, usable_idle_time(*connection)) && is_silent(connection->socket)) {
             return connection;
         }
-        drop_connection(target);
+        count_closed(target);
     }
     return nullptr;
 }
@@ -77,7 +73,7 @@
     control->active = nullptr;
     timeout.reset();
     if (error || timed_out || is_interrupted(*control)) {
-        drop_connection(*target);
+        count_closed(*target);
         co_return nullptr;
     }
     set_stream_options(socket, target_silence);
@@ -85,6 +81,10 @@
     co_return connection;
 }
 
+void count_closed(known_target& target) {
+    target.open_connections -= target.open_connections > 0 ? 1 : 0;
+}
+
 void keep_connection(known_target& target, std::unique_ptr<target_connection> connection, instant now) {
     connection->last_used = now;
     connection->buffer.shrink_to_fit();
--- a/packages/proxy/target_connections.h
+++ b/packages/proxy/target_connections.h
@@ -20,6 +20,9 @@
 // Keeps a connection for later requests.
 void keep_connection(known_target& target, std::unique_ptr<target_connection> connection, instant now);
 
+// Counts a connection as closed.
+void count_closed(known_target& target);
+
 // Closes kept connections that have been idle for too long.
 void close_idle_connections(known_target& target, instant now);
 
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -34,14 +34,14 @@
     return now < target.cold_until || target.may_be_restarted;
 }
 
-double cold_rate(const node_core& core, const request_plan& plan) {
+double cold_rate(const request_plan& plan) {
     const service_rule* rule = plan.config->find_service(plan.service);
-    return rule == nullptr ? 0 : rule->cold_requests_per_second * core.settings.cold_overage;
+    return rule == nullptr ? 0 : rule->cold_requests_per_second;
 }
 
 // Returns whether the pace of a cold target allows a request now.
 bool cold_allows(node_core& core, const request_plan& plan, known_target& target, instant now) {
-    const double rate = cold_rate(core, plan);
+    const double rate = cold_rate(plan);
     if (!is_cold(target, now) || rate <= 0) {
         return true;
     }
@@ -131,7 +131,7 @@
         note_use(core.uses, chosen->identity, *plan.affinity, now);
     }
     if (is_cold(*chosen, now)) {
-        note_sent_cold(chosen->cold, cold_rate(core, plan), sharers_of(core).total, now);
+        note_sent_cold(chosen->cold, cold_rate(plan), sharers_of(core).total, now);
     }
     return {chosen, placed.expected_finish, false, was_warm};
 }
