Divide objects between regions by demand and room; spill a key to one target

Its requests looked for room one by one: a spilled run was cold, each VM spilled the same key elsewhere, and the shift cap held the rest back.

Changes: region_shares (policy) and region_balance (proxy): parts of the keys per region from demand, told by datagrams, and slots; before demand is known, regions are taken to ask alike. A key spills to the first target of its order with room. The learned time of a target no longer holds the way there, which was counted twice.

Ruled out: quotas (over_rate refusals belong to the hot workspace), targets' own refusals (1,951, during srv_grey only).

--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -1,5 +1,7 @@
 #include "placement.h"
 
+#include "stable_hash.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -11,18 +13,12 @@
 // takes the slots of several others.
 constexpr double spare_part = 0.3;
 
-// Finalizer of splitmix64 (Steele, Lea and Flood, 2014): every input bit changes half of the output bits.
-std::uint64_t mix(std::uint64_t value) {
-    value += 0x9e3779b97f4a7c15U;
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
-    return value ^ (value >> 31U);
-}
-
-// The key's order of all targets: sound before doubtful, near before far, then by the key's weights.
+// The key's order of all targets: sound before doubtful, the key's region before others, then by the key's
+// weights.
 auto order_of(const placement_candidate& candidate, const placement_request& request) {
-    return std::make_tuple(candidate.doubtful, !candidate.near,
-                           mix(candidate.identity ^ mix(request.key.value_or(0))), candidate.identity);
+    return std::make_tuple(candidate.doubtful, candidate.region_rank,
+                           mix_hash(candidate.identity ^ mix_hash(request.key.value_or(0))),
+                           candidate.identity);
 }
 
 // What sending the request to one target would mean, in milliseconds.
@@ -30,7 +26,6 @@
     double finish = 0;
     // The finish, and the time that other requests lose by it.
     double cost = 0;
-    bool has_room = false;
     bool has_free_slot = false;
 };
 
@@ -43,11 +38,26 @@
     seen.finish = static_cast<double>(candidate.round_trip.count()) + own +
                   waiting / candidate.slots * warm * candidate.slowness;
     seen.cost = seen.finish + (is_warm ? 0 : cold - warm);
-    seen.has_room = is_warm || candidate.load < candidate.slots * (1 - spare_part);
     seen.has_free_slot = candidate.load < candidate.slots;
     return seen;
 }
 
+// Returns the target that takes the key's requests when its warm targets are full: the first one in the key's
+// order with room to spare, so that all VMs spill a key to the same target and it is warm there soon.
+std::optional<std::size_t> choose_spill(const std::vector<placement_candidate>& candidates,
+                                        const placement_request& request,
+                                        const placement_candidate& primary) {
+    std::optional<std::size_t> first;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const bool has_room = candidates[i].load < candidates[i].slots * (1 - spare_part);
+        if (has_room && candidates[i].identity != primary.identity &&
+            (!first || order_of(candidates[i], request) < order_of(candidates[*first], request))) {
+            first = i;
+        }
+    }
+    return first;
+}
+
 } // namespace
 
 placement place_request(const std::vector<placement_candidate>& candidates,
@@ -62,13 +72,14 @@
     const bool any_used = std::any_of(candidates.begin(), candidates.end(),
                                       [](const placement_candidate& each) { return each.used_lately; });
     const bool trust_primary = request.explore || !any_used;
+    const std::optional<std::size_t> spill = choose_spill(candidates, request, *primary);
     std::optional<std::size_t> best;
     prospect best_seen;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const bool is_primary = primary - candidates.begin() == static_cast<std::ptrdiff_t>(i);
         const bool is_warm = !request.key || candidates[i].used_lately || (is_primary && trust_primary);
         const prospect seen = look_at(candidates[i], request, is_warm);
-        if (!seen.has_room && !is_primary) {
+        if (!is_warm && !is_primary && spill != i) {
             continue;
         }
         const auto rank = [&](std::size_t index, const prospect& each) {
@@ -80,7 +91,7 @@
             best_seen = seen;
         }
     }
-    // The primary target is always among those with room.
+    // The primary target is always among those that were compared.
     const auto finish = milliseconds(static_cast<std::int64_t>(best_seen.finish));
     const bool is_useful = best_seen.has_free_slot || finish <= request.patience;
     return {is_useful ? best : std::nullopt, finish};
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -1,11 +1,11 @@
 // Chooses the target of a request by expected finish and by what the targets have handled lately.
 //
-// Every key has its own order of all targets (highest random weight; Thaler and Ravishankar, 1996), near
-// regions first. The first of them is the key's primary target, which is presumed to be warm for it unless
-// another target is known to be. A copy elsewhere costs a slow run that pushes other objects out, so that
-// under load copies breed more slow runs: a request goes to a target that is not warm for it only when
-// waiting at the warm ones takes longer than that run and the target has room to spare. Keys thereby keep to
-// few targets, also while a region is short of room.
+// Every key has its own order of all targets (highest random weight; Thaler and Ravishankar, 1996), the
+// region that serves the key first. The first of them is the key's primary target, which is presumed to be
+// warm for it unless another target is known to be. A copy elsewhere costs a slow run that pushes other
+// objects out, so that under load copies breed more slow runs: a request goes to a target that is not warm
+// for it only when waiting at the warm ones takes longer than that run and the target has room to spare. Keys
+// thereby keep to few targets, also while a region is short of room.
 #pragma once
 
 #include "clock.h"
@@ -30,8 +30,8 @@
     double slowness = 1;
     // Time that the way there and back takes.
     milliseconds round_trip{};
-    // The target is in the region of the choosing VM.
-    bool near = false;
+    // 0 in the region that serves the object, then 1 in the region of the choosing VM, 2 elsewhere.
+    int region_rank = 0;
     // The target has handled the request's object lately.
     bool used_lately = false;
     // The target has been failing and is only used when no other has room.
--- a/packages/policy/region_shift.cpp
+++ b/packages/policy/region_shift.cpp
@@ -46,7 +46,7 @@
     ++shift.regions[region].steps.at(static_cast<std::size_t>(shift.newest % kept_steps));
 }
 
-bool may_grow(region_shift& shift, const shift_terms& terms, const std::string& region, bool is_own,
+bool may_grow(region_shift& shift, const shift_terms& terms, const std::string& region, double planned_share,
               instant now) {
     if (terms.max_growth <= 0) {
         return true;
@@ -60,8 +60,7 @@
     }
     const window_counts own = count(shift, shift.regions[region]);
     const bool is_known = all.earlier >= min_requests;
-    const double unknown = is_own ? 1 : 0;
-    const double before = is_known ? static_cast<double>(own.earlier) / all.earlier : unknown;
+    const double before = is_known ? static_cast<double>(own.earlier) / all.earlier : planned_share;
     const double after = static_cast<double>(own.later + 1) / (all.later + 1);
     // A single request is always allowed to be one.
     const double grain = 1.0 / (all.later + 1);
--- a/packages/policy/region_shift.h
+++ b/packages/policy/region_shift.h
@@ -40,8 +40,9 @@
 void note_region(region_shift& shift, const shift_terms& terms, const std::string& region, instant now);
 
 // Returns whether one more request may be sent to the region now. While there are too few requests to speak
-// of shares, all are taken to have run in the VM's own region, so that a start does not begin with a shift.
+// of shares, the region is taken to have had `planned_share` of them, so that a start does not begin with a
+// shift away from the plan.
 [[nodiscard]] bool may_grow(region_shift& shift, const shift_terms& terms, const std::string& region,
-                            bool is_own, instant now);
+                            double planned_share, instant now);
 
 } // namespace cassiaspan
--- a/packages/policy/stable_hash.h
+++ b/packages/policy/stable_hash.h
@@ -9,4 +9,7 @@
 // Returns the XXH3 hash of `text`.
 [[nodiscard]] std::uint64_t stable_hash(std::string_view text, std::uint64_t seed = 0);
 
+// Finalizer of splitmix64 (Steele, Lea and Flood, 2014): every input bit changes half of the output bits.
+[[nodiscard]] std::uint64_t mix_hash(std::uint64_t value);
+
 } // namespace cassiaspan
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -153,7 +153,7 @@
                const forward_state& state) {
     return may_repeat(plan.route->kind, state.last) && state.attempts < plan.route->max_attempts &&
            !request.has_more_body &&
-           take_repeat(core.services[plan.service].repeats, core.settings.repeats, sharers_of(core).total,
+           take_repeat(learning_of(core, plan.service).repeats, core.settings.repeats, sharers_of(core).total,
                        now_of(core));
 }
 
--- a/packages/proxy/node_core.cpp
+++ b/packages/proxy/node_core.cpp
@@ -142,6 +142,14 @@
     return use;
 }
 
+service_learning& learning_of(node_core& core, const std::string& service) {
+    const auto [found, is_new] = core.services.try_emplace(service);
+    if (is_new) {
+        found->second.name_hash = low_half(stable_hash(service));
+    }
+    return found->second;
+}
+
 bucket_sharers sharers_of(const node_core& core) {
     const instant now = now_of(core);
     const auto heard = std::count_if(core.peers.by_name.begin(), core.peers.by_name.end(),
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -12,6 +12,7 @@
 #include "platform_adapter.h"
 #include "quarantine.h"
 #include "recent_uses.h"
+#include "region_shares.h"
 #include "repeat_budget.h"
 #include "steering_config.h"
 #include "store_mirror.h"
@@ -47,6 +48,14 @@
     milliseconds warm_time{};
     milliseconds cold_time{};
     repeat_budget repeats;
+    // Lower half of the hash of the name.
+    std::uint32_t name_hash = 0;
+    // Requests for the service that this VM has read since its start, and those of all VMs by region.
+    std::uint64_t asked = 0;
+    std::map<std::string, demand_meter> demand;
+    std::optional<instant> first_asked;
+    // Where the objects of this region's callers are served.
+    region_shares shares;
 };
 
 // How far the VM is in its life.
@@ -119,6 +128,9 @@
 // Returns the use record of a workspace, made at first use or when its contract changed.
 [[nodiscard]] workspace_use& use_of(node_core& core, const workspace_rule& workspace);
 
+// Returns what is learned about a service, made at first use.
+service_learning& learning_of(node_core& core, const std::string& service);
+
 // Returns how many VMs share budgets, and how many of them report.
 [[nodiscard]] bucket_sharers sharers_of(const node_core& core);
 
--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -38,8 +38,10 @@
     // What the VM last reported, by the lower half of the hash of target and workspace.
     std::unordered_map<std::uint32_t, std::uint32_t> target_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> workspace_uses;
+    std::unordered_map<std::uint32_t, std::uint64_t> service_demands;
     // What of it this VM, as a hub, has passed on.
     std::unordered_map<std::uint32_t, std::uint64_t> forwarded_uses;
+    std::unordered_map<std::uint32_t, std::uint64_t> forwarded_demands;
 };
 
 struct peer_table {
--- /dev/null
+++ b/packages/proxy/region_balance.cpp
@@ -0,0 +1,62 @@
+#include "region_balance.h"
+
+#include "target_selection.h"
+
+#include <algorithm>
+
+namespace cassiaspan {
+
+namespace {
+
+// Demand is known when the averages have had time to fill.
+constexpr milliseconds demand_learning_time{3000};
+// Part of the allowed shift that planned changes use; the rest is left to requests that find no room.
+constexpr double planned_shift_part = 0.6;
+// Growth of a share in one window where the platform sets no bound.
+constexpr double unbounded_growth = 0.25;
+
+std::map<std::string, region_supply> survey_regions(const node_core& core, const std::string& service,
+                                                    const service_learning& learned, instant now) {
+    std::map<std::string, region_supply> regions;
+    for (const auto& [zone, region] : core.settings.region_by_zone) {
+        regions[region];
+    }
+    for (const target_ptr& target : core.targets.of_service(service)) {
+        if (takes_new_work(core, *target, now)) {
+            regions[target->info.region].slots += static_cast<double>(target->info.slots);
+        }
+    }
+    const std::chrono::duration<double> warm =
+        learned.warm_time == milliseconds(0) ? unknown_service_time : learned.warm_time;
+    for (const auto& [region, meter] : learned.demand) {
+        regions[region].busy_slots = demand_rate(meter, now) * warm.count();
+    }
+    return regions;
+}
+
+} // namespace
+
+void update_region_shares(node_core& core, milliseconds interval) {
+    const instant now = now_of(core);
+    const shift_terms& terms = core.settings.shifts;
+    const double growth = terms.max_growth > 0 ? terms.max_growth * planned_shift_part : unbounded_growth;
+    const double step =
+        growth * static_cast<double>(interval.count()) / static_cast<double>(terms.window.count());
+    const std::string& own = core.settings.region;
+    if (core.config) {
+        for (const service_rule& rule : core.config->rules().services) {
+            learning_of(core, rule.name);
+        }
+    }
+    for (auto& [service, learned] : core.services) {
+        const std::map<std::string, region_supply> regions = survey_regions(core, service, learned, now);
+        const bool is_known = learned.first_asked && now - *learned.first_asked >= demand_learning_time;
+        if (is_known) {
+            learned.shares = approach(learned.shares, balance_regions(regions, own), own, step);
+        } else {
+            learned.shares = presume_shares(regions, own);
+        }
+    }
+}
+
+} // namespace cassiaspan
--- a/packages/proxy/request_plan.cpp
+++ b/packages/proxy/request_plan.cpp
@@ -89,7 +89,12 @@
     if (plan.route->affinity && !key.empty()) {
         plan.affinity = stable_hash(key);
     }
-    note_request(core.services[plan.service].repeats, core.settings.repeats, now_of(core));
+    const instant now = now_of(core);
+    service_learning& learned = learning_of(core, plan.service);
+    note_request(learned.repeats, core.settings.repeats, now);
+    note_demand(learned.demand[core.settings.region], 1, now);
+    learned.first_asked = learned.first_asked.value_or(now);
+    ++learned.asked;
 }
 
 } // namespace
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -3,6 +3,7 @@
 #include "caller_session.h"
 #include "gossip.h"
 #include "news_exchange.h"
+#include "region_balance.h"
 #include "small_http_service.h"
 #include "store_watcher.h"
 #include "target_connections.h"
@@ -125,6 +126,7 @@
                 close_idle_connections(*target, now);
             }
             forget_silent_peers(this->core);
+            update_region_shares(this->core, housekeeping_interval);
         }
     }
 
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -321,13 +321,13 @@
     }
     const instant now = now_of(core);
     const auto slots = static_cast<double>(target.info.slots);
-    note_outcome(target.health, outcome_of(result.end), result.latency, result.load, slots, now);
+    note_outcome(target.health, outcome_of(result.end), result.target_time, result.load, slots, now);
     if (result.end == attempt_end::unreachable) {
         target.may_be_restarted = true;
     }
     if (result.end == attempt_end::answered) {
-        service_learning& learned = core.services[target.info.service];
-        const milliseconds own = time_without_waiting(result.latency, result.load, slots);
+        service_learning& learned = learning_of(core, target.info.service);
+        const milliseconds own = time_without_waiting(result.target_time, result.load, slots);
         learned.service_time = average_time(learned.service_time, own);
         if (is_warm) {
             milliseconds& learned_time = *is_warm ? learned.warm_time : learned.cold_time;
@@ -358,6 +358,7 @@
     if (!connection && target->open_connections < connection_limit(core, *target)) {
         connection = co_await open_connection(core, target, control);
     }
+    const instant sent = now_of(core);
     if (connection && !is_interrupted(*control)) {
         exchange one(core, *target, *connection, request, sink);
         control->active = &connection->socket;
@@ -374,7 +375,10 @@
     }
     --target->in_flight;
     result.load = load;
-    result.latency = std::chrono::ceil<milliseconds>(now_of(core) - begun);
+    const instant ended = now_of(core);
+    result.latency = std::chrono::ceil<milliseconds>(ended - begun);
+    result.target_time =
+        std::max(milliseconds(1), std::chrono::ceil<milliseconds>(ended - sent) - target->health.round_trip);
     if (result.end != attempt_end::answered && is_interrupted(*control)) {
         // An attempt without a connection cannot have run, whatever ended it.
         if (may_have_run(result.end)) {
--- a/packages/proxy/target_attempt.h
+++ b/packages/proxy/target_attempt.h
@@ -52,6 +52,8 @@
     // The connection to the target was an old one that ended before anything came back.
     bool stale_connection = false;
     milliseconds latency{};
+    // The part of it that the target took: without opening a connection and without the way there and back.
+    milliseconds target_time{};
     // Requests at the target when this one was sent, over all VMs, as far as this VM knew.
     double load = 0;
     std::string detail;
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -24,9 +24,7 @@
 bool is_usable(const node_core& core, const request_plan& plan, const known_target& target, instant now) {
     const std::vector<std::string> any;
     const auto& workspace_regions = plan.workspace != nullptr ? plan.workspace->allowed_regions : any;
-    return !target.info.draining && !(target.removed_at && *target.removed_at <= now) &&
-           core.evacuated_zones.count(target.info.availability_zone) == 0 &&
-           !is_blocked(target.health, now) &&
+    return takes_new_work(core, target, now) &&
            is_region_allowed(plan.route->allowed_regions, workspace_regions, target.info.region);
 }
 
@@ -52,7 +50,8 @@
 }
 
 placement_candidate describe(const node_core& core, const known_target& target, milliseconds usual,
-                             const std::optional<std::uint64_t>& key, instant now) {
+                             const std::optional<std::uint64_t>& key, const std::string& key_region,
+                             instant now) {
     const bool near = target.info.region == core.settings.region;
     const double own = static_cast<double>(target.health.service_time.count());
     placement_candidate candidate;
@@ -65,19 +64,20 @@
     candidate.round_trip = target.health.round_trip != milliseconds(0) ? target.health.round_trip
                            : near                                      ? near_round_trip
                                                                        : far_round_trip;
-    candidate.near = near;
+    candidate.region_rank = target.info.region == key_region ? 0 : near ? 1 : 2;
     candidate.doubtful = is_doubtful(target.health, usual);
     return candidate;
 }
 
 // Drops targets of regions whose share of the requests may not grow now, unless no others are left.
-void keep_open_regions(node_core& core, std::vector<target_ptr>& targets, instant now) {
+void keep_open_regions(node_core& core, const region_shares& shares, std::vector<target_ptr>& targets,
+                       instant now) {
     std::map<std::string, bool> is_open;
     for (const target_ptr& target : targets) {
         const auto [found, is_new] = is_open.try_emplace(target->info.region, false);
         if (is_new) {
-            found->second = may_grow(core.shift, core.settings.shifts, target->info.region,
-                                     target->info.region == core.settings.region, now);
+            const double planned = share_of(shares, core.settings.region, target->info.region);
+            found->second = may_grow(core.shift, core.settings.shifts, target->info.region, planned, now);
         }
     }
     const bool any_open =
@@ -89,10 +89,15 @@
 
 } // namespace
 
+bool takes_new_work(const node_core& core, const known_target& target, instant now) {
+    return !target.info.draining && !(target.removed_at && *target.removed_at <= now) &&
+           core.evacuated_zones.count(target.info.availability_zone) == 0 && !is_blocked(target.health, now);
+}
+
 target_selection select_target(node_core& core, const request_plan& plan,
                                const std::vector<target_ptr>& tried) {
     const instant now = now_of(core);
-    const service_learning& learned = core.services[plan.service];
+    const service_learning& learned = learning_of(core, plan.service);
     const milliseconds usual =
         learned.service_time == milliseconds(0) ? unknown_service_time : learned.service_time;
     std::vector<target_ptr> targets;
@@ -108,10 +113,12 @@
             targets.push_back(target);
         }
     }
-    keep_open_regions(core, targets, now);
+    keep_open_regions(core, learned.shares, targets, now);
+    const std::string& own = core.settings.region;
+    const std::string& key_region = plan.affinity ? region_of_key(learned.shares, own, *plan.affinity) : own;
     candidates.reserve(targets.size());
     for (const target_ptr& target : targets) {
-        candidates.push_back(describe(core, *target, usual, plan.affinity, now));
+        candidates.push_back(describe(core, *target, usual, plan.affinity, key_region, now));
     }
     const auto left = std::chrono::duration_cast<milliseconds>(plan.objective_at - now);
     const milliseconds warm = learned.warm_time == milliseconds(0) ? usual : learned.warm_time;
--- a/packages/proxy/target_selection.h
+++ b/packages/proxy/target_selection.h
@@ -22,6 +22,9 @@
 // Targets keep what they have handled lately: this long after a request it is taken to be still there.
 constexpr milliseconds warm_memory{5000};
 
+// Returns whether a new request may be sent to the target at all, whatever its route and workspace.
+[[nodiscard]] bool takes_new_work(const node_core& core, const known_target& target, instant now);
+
 // Chooses a target that is not among `tried`.
 [[nodiscard]] target_selection select_target(node_core& core, const request_plan& plan,
                                              const std::vector<target_ptr>& tried);
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -43,6 +43,20 @@
     }
 }
 
+// Notes what a peer's callers have asked for since its last report.
+void take_service_demands(node_core& core, peer_vm& peer, const schema::Gossip& gossip, bool is_first) {
+    for (const schema::ServiceDemand& told : gossip.service_demands()) {
+        std::uint64_t& known = peer.service_demands[told.service()];
+        const std::uint64_t fresh = told.asked() > known && !is_first ? told.asked() - known : 0;
+        known = std::max(known, told.asked());
+        for (auto& [name, learned] : core.services) {
+            if (fresh > 0 && learned.name_hash == told.service()) {
+                note_demand(learned.demand[peer.region], static_cast<double>(fresh), now_of(core));
+            }
+        }
+    }
+}
+
 void take_crashes(node_core& core, const schema::Gossip& gossip) {
     for (const schema::CrashReport& report : gossip.crashes()) {
         note_death(core.crashes, report.request(), report.death(), now_of(core));
@@ -87,6 +101,11 @@
         told.set_workspace(use.name_hash);
         told.set_admitted(use.admitted);
     }
+    for (const auto& [name, learned] : core.services) {
+        schema::ServiceDemand& told = *gossip.add_service_demands();
+        told.set_service(learned.name_hash);
+        told.set_asked(learned.asked);
+    }
     const instant now = now_of(core);
     for (const auto& [report, until] : core.crash_reports) {
         if (now < until) {
@@ -127,6 +146,15 @@
             told = admitted;
         }
     }
+    for (const auto& [service, asked] : peer.service_demands) {
+        std::uint64_t& told = peer.forwarded_demands[service];
+        if (whole || told != asked) {
+            schema::ServiceDemand& demand = *forwarded.add_service_demands();
+            demand.set_service(service);
+            demand.set_asked(asked);
+            told = asked;
+        }
+    }
     return forwarded;
 }
 
@@ -180,6 +208,7 @@
         }
     }
     take_workspace_uses(core, *peer, gossip);
+    take_service_demands(core, *peer, gossip, is_first);
     take_crashes(core, gossip);
     ++core.metrics.gossip_received;
     return true;
--- a/test/correctness/budgets_test.cpp
+++ b/test/correctness/budgets_test.cpp
@@ -207,7 +207,7 @@
             note_region(shift, terms, step % 10 < row.near_before ? "near" : "far", now);
             continue;
         }
-        const bool goes_far = may_grow(shift, terms, "far", false, now);
+        const bool goes_far = may_grow(shift, terms, "far", 0, now);
         note_region(shift, terms, goes_far ? "far" : "near", now);
         far += goes_far ? 1 : 0;
         ++count;
@@ -227,8 +227,8 @@
     int far = 0;
     for (int i = 0; i < 100; ++i) {
         const instant now = start + i * milliseconds(15);
-        const bool goes_far = may_grow(shift, terms, "far", false, now);
-        CPPUNIT_ASSERT(may_grow(shift, terms, "near", true, now));
+        const bool goes_far = may_grow(shift, terms, "far", 0, now);
+        CPPUNIT_ASSERT(may_grow(shift, terms, "near", 1, now));
         note_region(shift, terms, goes_far ? "far" : "near", now);
         far += goes_far ? 1 : 0;
     }
@@ -244,8 +244,8 @@
     const instant later = start + seconds(60);
     note_region(shift, terms, "near", later);
     note_region(shift, terms, "far", later);
-    CPPUNIT_ASSERT(!may_grow(shift, terms, "far", false, later));
-    CPPUNIT_ASSERT(may_grow(shift, terms, "near", true, later));
+    CPPUNIT_ASSERT(!may_grow(shift, terms, "far", 0, later));
+    CPPUNIT_ASSERT(may_grow(shift, terms, "near", 1, later));
 }
 
 const test_table<scenario>
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -18,7 +18,7 @@
     candidate.identity = identity;
     candidate.load = load;
     candidate.slots = 4;
-    candidate.near = near;
+    candidate.region_rank = near ? 0 : 2;
     candidate.round_trip = near ? milliseconds(2) : milliseconds(60);
     return candidate;
 }
@@ -100,6 +100,34 @@
 
 const test_table<choice_row> choices("placement", make_choice_rows(), check_choice);
 
+// Every VM sees somewhat other loads; a key whose primary target is full spills to the same target all the
+// same.
+void keys_spill_to_one_target() {
+    std::mt19937_64 random(5);
+    for (std::uint64_t key = 0; key < 50; ++key) {
+        std::vector<placement_candidate> idle;
+        for (std::uint64_t identity = 11; identity < 17; ++identity) {
+            idle.push_back(target(identity, 0));
+        }
+        const auto primary = *place_request(idle, {key, warm, cold, false, milliseconds(1000)}).index;
+        std::optional<std::size_t> spill;
+        for (int vm = 0; vm < 8; ++vm) {
+            std::vector<placement_candidate> seen = idle;
+            for (placement_candidate& candidate : seen) {
+                candidate.load = static_cast<double>(random() % 3);
+            }
+            seen[primary].load = 60;
+            const placement placed = place_request(seen, {key, warm, cold, false, milliseconds(2000)});
+            CPPUNIT_ASSERT(placed.index && *placed.index != primary);
+            CPPUNIT_ASSERT(!spill || *spill == *placed.index);
+            spill = placed.index;
+        }
+    }
+}
+
+const test_table<scenario> spills("placement spills",
+                                  {{"keys spill to one target", keys_spill_to_one_target}}, run_scenario);
+
 // A target that keeps the objects it handled last, as many as it has places.
 struct caching_target {
     std::deque<std::uint64_t> kept;
