Judge a target's slowness by warm or cold runs; remember warmth for 20 s

Objects stay warm for over 20 s in the log, not 5 s.

Changes: a run is compared with what is usual for its kind, warm or cold; uses are remembered for 20 s; the log tells why a target was chosen.

Failed try, measured and replaced: the longer memory with a target's own time that follows fast runs soon and slow ones late.

--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -60,6 +60,18 @@
 
 } // namespace
 
+const char* to_string(placement_reason reason) {
+    switch (reason) {
+    case placement_reason::primary:
+        return "primary";
+    case placement_reason::known_warm:
+        return "known_warm";
+    case placement_reason::spill:
+        return "spill";
+    }
+    return "unknown";
+}
+
 placement place_request(const std::vector<placement_candidate>& candidates,
                         const placement_request& request) {
     if (candidates.empty()) {
@@ -94,7 +106,11 @@
     // The primary target is always among those that were compared.
     const auto finish = milliseconds(static_cast<std::int64_t>(best_seen.finish));
     const bool is_useful = best_seen.has_free_slot || finish <= request.patience;
-    return {is_useful ? best : std::nullopt, finish};
+    const bool is_primary = best == static_cast<std::size_t>(primary - candidates.begin());
+    const placement_reason reason = candidates[*best].used_lately ? placement_reason::known_warm
+                                    : is_primary                  ? placement_reason::primary
+                                                                  : placement_reason::spill;
+    return {is_useful ? best : std::nullopt, finish, reason};
 }
 
 } // namespace cassiaspan
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -54,10 +54,24 @@
     auto operator<=>(const placement_request&) const = default;
 };
 
+// Why a target was chosen.
+enum class placement_reason {
+    // It is the first in the key's order, or the cheapest for a request without a key.
+    primary,
+    // It has handled the object lately.
+    known_warm,
+    // The warm targets are full.
+    spill
+};
+
+// Returns the reason as a word for the log.
+[[nodiscard]] const char* to_string(placement_reason reason);
+
 // Where a request goes, or how long it would take until a target has room.
 struct placement {
     std::optional<std::size_t> index;
     milliseconds expected_finish{};
+    placement_reason reason = placement_reason::primary;
     auto operator<=>(const placement&) const = default;
 };
 
--- a/packages/policy/target_health.cpp
+++ b/packages/policy/target_health.cpp
@@ -39,11 +39,11 @@
     return average(old, fresh, latency_weight);
 }
 
-void note_outcome(target_health& health, target_outcome outcome, milliseconds latency, double load,
-                  double slots, instant now) {
-    if (outcome == target_outcome::answered) {
-        const milliseconds own = time_without_waiting(latency, load, slots);
-        health.service_time = average_time(health.service_time, own);
+void note_outcome(target_health& health, target_outcome outcome, const run_time& time, instant now) {
+    if (outcome == target_outcome::answered && time.usual > milliseconds(0)) {
+        const double ratio = static_cast<double>(time.own.count()) / static_cast<double>(time.usual.count());
+        health.slowness =
+            health.slowness == 0 ? ratio : health.slowness * (1 - latency_weight) + ratio * latency_weight;
     }
     const bool bad = outcome == target_outcome::unreachable || outcome == target_outcome::failed;
     health.failure_share = health.failure_share * (1 - failure_weight) + (bad ? failure_weight : 0);
@@ -65,10 +65,8 @@
     return now < health.blocked_until;
 }
 
-bool is_doubtful(const target_health& health, milliseconds usual) {
-    return health.failure_share > doubtful_failure_share ||
-           static_cast<double>(health.service_time.count()) >
-               doubtful_slowness * static_cast<double>(usual.count());
+bool is_doubtful(const target_health& health) {
+    return health.failure_share > doubtful_failure_share || health.slowness > doubtful_slowness;
 }
 
 } // namespace cassiaspan
--- a/packages/policy/target_health.h
+++ b/packages/policy/target_health.h
@@ -22,8 +22,9 @@
 
 // Beliefs about one target.
 struct target_health {
-    // Moving average of the time of one request, counted without waiting for a slot; 0 before the first.
-    milliseconds service_time{};
+    // Moving average of the time of a run over the time that is usual for such a run, warm or cold, at the
+    // service; 0 before the first.
+    double slowness = 0;
     // Moving average of the round trip of opening a connection.
     milliseconds round_trip{};
     // Moving average of failures, 0 to 1.
@@ -44,10 +45,15 @@
 // Returns the moving average with a fresh time; 0 is an average without any.
 [[nodiscard]] milliseconds average_time(milliseconds old, milliseconds fresh);
 
-// Notes how a request ended. `latency` is the time it took and `load` the requests at the target, over its
-// `slots`, when it was sent.
-void note_outcome(target_health& health, target_outcome outcome, milliseconds latency, double load,
-                  double slots, instant now);
+// Time that a run took, without its wait for a slot, and that such a run usually takes at the service.
+struct run_time {
+    milliseconds own{};
+    milliseconds usual{};
+    auto operator<=>(const run_time&) const = default;
+};
+
+// Notes how a request ended; `time` counts where it was answered.
+void note_outcome(target_health& health, target_outcome outcome, const run_time& time, instant now);
 
 // Notes the time that opening a connection took.
 void note_connect_time(target_health& health, milliseconds time);
@@ -55,7 +61,7 @@
 // Returns whether the target may be asked at all.
 [[nodiscard]] bool is_blocked(const target_health& health, instant now);
 
-// Returns whether the target fails often, or is far slower than `usual` for its service.
-[[nodiscard]] bool is_doubtful(const target_health& health, milliseconds usual);
+// Returns whether the target fails often, or is far slower than usual for its service.
+[[nodiscard]] bool is_doubtful(const target_health& health);
 
 } // namespace cassiaspan
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -66,6 +66,7 @@
     std::string target;
     double load = 0;
     milliseconds latency{};
+    const char* chosen_as = "";
 };
 
 void log_end(node_core& core, const caller_request& request, const request_plan* plan,
@@ -89,6 +90,7 @@
     if (!end.target.empty()) {
         const auto key = request.head[core.platform.headers().affinity_key];
         fields.add("target", end.target)
+            .add("chosen_as", end.chosen_as)
             .add("load", end.load)
             .add("target_ms", end.latency.count())
             .add("affinity", std::string_view(key.data(), key.size()));
@@ -138,14 +140,15 @@
     bool good = false;
     request_end end;
     if (auto* answer = std::get_if<target_answer>(&result)) {
-        end = {answer->head.result_int(), "answered", {}, answer->target, answer->load, answer->latency};
+        end = {answer->head.result_int(), "answered",       {}, answer->target, answer->load,
+               answer->latency,           answer->chosen_as};
         good = co_await write_target_answer(state, std::move(*answer), request.head);
     } else if (const auto* local = std::get_if<local_answer>(&result)) {
-        end = {local->status, local->reason, local->retry_after, {}, 0, {}};
+        end = {local->status, local->reason, local->retry_after, {}, 0, {}, ""};
         good = co_await write_local(state, *local, request.head.version(), request.id);
     } else {
         good = std::get<nothing_to_write>(result).connection_is_good;
-        end = {0, good ? "answered" : control->caller_left ? "caller_left" : "broken_off", {}, {}, 0, {}};
+        end = {0, good ? "answered" : control->caller_left ? "caller_left" : "broken_off", {}, {}, 0, {}, ""};
     }
     log_end(core, request, &plan, end);
     co_return good;
@@ -218,7 +221,8 @@
         const local_answer& answer = plan.error();
         state.keep_alive = state.keep_alive && !request.has_more_body;
         const bool good = co_await write_local(state, answer, request.head.version(), request.id);
-        log_end(state.core, request, nullptr, {answer.status, answer.reason, answer.retry_after, {}, 0, {}});
+        log_end(state.core, request, nullptr,
+                {answer.status, answer.reason, answer.retry_after, {}, 0, {}, ""});
         co_return good;
     }
     co_return co_await run_request(state, parser, request, *plan);
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -184,7 +184,7 @@
         const target_ptr target = selection.target;
         address_to(core, outgoing, *target, plan);
         if (plan.affinity) {
-            outgoing.is_warm = selection.was_warm;
+            outgoing.is_warm = selection.reason == placement_reason::known_warm;
         }
         attempt_result result = co_await run_attempt(core, target, outgoing, control, sink);
         if (result.end != attempt_end::unreachable) {
@@ -197,8 +197,9 @@
             co_return nothing_to_write{result.end == attempt_end::answered};
         }
         if (result.end == attempt_end::answered) {
-            target_answer answer{std::move(result.head), std::move(result.body), target->info.id, result.load,
-                                 result.latency};
+            target_answer answer{std::move(result.head), std::move(result.body),
+                                 target->info.id,        result.load,
+                                 result.latency,         to_string(selection.reason)};
             co_return answer;
         }
         log_attempt(core, request, *target, result);
--- a/packages/proxy/forwarding.h
+++ b/packages/proxy/forwarding.h
@@ -18,6 +18,8 @@
     double load = 0;
     // Time of the attempt that was answered.
     milliseconds latency{};
+    // Why this target was chosen.
+    const char* chosen_as = "";
 };
 
 // The answer has been written already, or there is nobody to write it to.
--- a/packages/proxy/node_core.cpp
+++ b/packages/proxy/node_core.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds lapsed_entry_time{1700};
 // How long after its return the store counts as having been away.
 constexpr milliseconds store_return_time{1000};
+// A cold run is taken to be this many times longer than a warm one until one was measured.
+constexpr int unknown_cold_factor = 3;
 
 void log_findings(node_core& core, const store_change& change, const findings& found) {
     for (const finding& each : found) {
@@ -142,6 +144,15 @@
     return use;
 }
 
+run_times expected_times(const service_learning& learned) {
+    const milliseconds usual =
+        learned.service_time == milliseconds(0) ? unknown_service_time : learned.service_time;
+    const milliseconds warm = learned.warm_time == milliseconds(0) ? usual : learned.warm_time;
+    const milliseconds cold =
+        learned.cold_time == milliseconds(0) ? warm * unknown_cold_factor : learned.cold_time;
+    return {warm, std::max(warm, cold)};
+}
+
 service_learning& learning_of(node_core& core, const std::string& service) {
     const auto [found, is_new] = core.services.try_emplace(service);
     if (is_new) {
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -58,6 +58,15 @@
     region_shares shares;
 };
 
+// Times of one run without waiting.
+struct run_times {
+    milliseconds warm{};
+    milliseconds cold{};
+};
+
+// Returns the times that are expected of a service's runs, learned or assumed. `cold` is not below `warm`.
+[[nodiscard]] run_times expected_times(const service_learning& learned);
+
 // How far the VM is in its life.
 enum class node_phase {
     // No configuration yet.
--- a/packages/proxy/region_balance.cpp
+++ b/packages/proxy/region_balance.cpp
@@ -26,8 +26,7 @@
             regions[target->info.region].slots += static_cast<double>(target->info.slots);
         }
     }
-    const std::chrono::duration<double> warm =
-        learned.warm_time == milliseconds(0) ? unknown_service_time : learned.warm_time;
+    const std::chrono::duration<double> warm = expected_times(learned).warm;
     for (const auto& [region, meter] : learned.demand) {
         regions[region].busy_slots = demand_rate(meter, now) * warm.count();
     }
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -1,6 +1,5 @@
 #include "target_selection.h"
 
-#include "placement.h"
 #include "stable_hash.h"
 
 #include <algorithm>
@@ -15,8 +14,6 @@
 
 // One request in so many goes to its key's primary target although another target is known to be warm.
 constexpr std::uint64_t exploring_share = 16;
-// A slow run is taken to be this many times longer until one was measured.
-constexpr int unknown_cold_factor = 3;
 // How far a target's own times are taken to differ from the usual of its service.
 constexpr double min_slowness = 0.5;
 constexpr double max_slowness = 8;
@@ -49,23 +46,22 @@
     return may_send_cold(target.cold, rate, sharers_of(core).total, phase, now);
 }
 
-placement_candidate describe(const node_core& core, const known_target& target, milliseconds usual,
+placement_candidate describe(const node_core& core, const known_target& target,
                              const std::optional<std::uint64_t>& key, const std::string& key_region,
                              instant now) {
     const bool near = target.info.region == core.settings.region;
-    const double own = static_cast<double>(target.health.service_time.count());
     placement_candidate candidate;
     candidate.identity = target.identity;
     candidate.load = estimate_load(target, now);
     candidate.slots = static_cast<double>(std::max<std::size_t>(target.info.slots, 1));
     candidate.slowness =
-        own == 0 ? 1 : std::clamp(own / static_cast<double>(usual.count()), min_slowness, max_slowness);
+        target.health.slowness == 0 ? 1 : std::clamp(target.health.slowness, min_slowness, max_slowness);
     candidate.used_lately = key && was_used(core.uses, target.identity, *key, warm_memory, now);
     candidate.round_trip = target.health.round_trip != milliseconds(0) ? target.health.round_trip
                            : near                                      ? near_round_trip
                                                                        : far_round_trip;
     candidate.region_rank = target.info.region == key_region ? 0 : near ? 1 : 2;
-    candidate.doubtful = is_doubtful(target.health, usual);
+    candidate.doubtful = is_doubtful(target.health);
     return candidate;
 }
 
@@ -98,8 +94,7 @@
                                const std::vector<target_ptr>& tried) {
     const instant now = now_of(core);
     const service_learning& learned = learning_of(core, plan.service);
-    const milliseconds usual =
-        learned.service_time == milliseconds(0) ? unknown_service_time : learned.service_time;
+    const run_times times = expected_times(learned);
     std::vector<target_ptr> targets;
     std::vector<placement_candidate> candidates;
     bool any_usable = false;
@@ -118,29 +113,24 @@
     const std::string& key_region = plan.affinity ? region_of_key(learned.shares, own, *plan.affinity) : own;
     candidates.reserve(targets.size());
     for (const target_ptr& target : targets) {
-        candidates.push_back(describe(core, *target, usual, plan.affinity, key_region, now));
+        candidates.push_back(describe(core, *target, plan.affinity, key_region, now));
     }
     const auto left = std::chrono::duration_cast<milliseconds>(plan.objective_at - now);
-    const milliseconds warm = learned.warm_time == milliseconds(0) ? usual : learned.warm_time;
-    const milliseconds cold =
-        learned.cold_time == milliseconds(0) ? warm * unknown_cold_factor : learned.cold_time;
     const bool explore = core.random() % exploring_share == 0;
     const placement placed = place_request(
-        candidates, {plan.affinity, warm, std::max(warm, cold), explore, std::max(left, milliseconds(0))});
+        candidates, {plan.affinity, times.warm, times.cold, explore, std::max(left, milliseconds(0))});
     if (!placed.index) {
         return {nullptr, placed.expected_finish, !any_usable};
     }
     const target_ptr& chosen = targets[*placed.index];
     note_region(core.shift, core.settings.shifts, chosen->info.region, now);
-    const bool was_warm =
-        plan.affinity && was_used(core.uses, chosen->identity, *plan.affinity, warm_memory, now);
     if (plan.affinity) {
         note_use(core.uses, chosen->identity, *plan.affinity, now);
     }
     if (is_cold(*chosen, now)) {
         note_sent_cold(chosen->cold, cold_rate(plan), sharers_of(core).total, now);
     }
-    return {chosen, placed.expected_finish, false, was_warm};
+    return {chosen, placed.expected_finish, false, placed.reason};
 }
 
 } // namespace cassiaspan
--- a/packages/proxy/target_selection.h
+++ b/packages/proxy/target_selection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "node_core.h"
+#include "placement.h"
 #include "request_plan.h"
 
 #include <vector>
@@ -15,12 +16,11 @@
     milliseconds expected_finish{};
     // No target may be used at all: none is known, or the regions are not allowed.
     bool none_usable = false;
-    // This VM sent a request for the same object there within `warm_memory`.
-    bool was_warm = false;
+    placement_reason reason = placement_reason::primary;
 };
 
 // Targets keep what they have handled lately: this long after a request it is taken to be still there.
-constexpr milliseconds warm_memory{5000};
+constexpr milliseconds warm_memory{20'000};
 
 // Returns whether a new request may be sent to the target at all, whatever its route and workspace.
 [[nodiscard]] bool takes_new_work(const node_core& core, const known_target& target, instant now);
--- a/test/correctness/request_rules_test.cpp
+++ b/test/correctness/request_rules_test.cpp
@@ -81,7 +81,7 @@
     milliseconds last{0};
     instant now = start;
     for (int i = 0; i < 5; ++i) {
-        note_outcome(health, target_outcome::unreachable, milliseconds(1), 0, 1, now);
+        note_outcome(health, target_outcome::unreachable, {}, now);
         CPPUNIT_ASSERT(is_blocked(health, now));
         const auto blocked = std::chrono::duration_cast<milliseconds>(health.blocked_until - now);
         CPPUNIT_ASSERT(blocked >= last);
@@ -94,34 +94,46 @@
 
 void an_answer_ends_the_series_of_failures() {
     target_health health;
-    note_outcome(health, target_outcome::unreachable, milliseconds(1), 0, 1, start);
-    note_outcome(health, target_outcome::answered, milliseconds(100), 0, 1, start);
-    note_outcome(health, target_outcome::unreachable, milliseconds(1), 0, 1, start);
+    note_outcome(health, target_outcome::unreachable, {}, start);
+    note_outcome(health, target_outcome::answered, {milliseconds(100), milliseconds(100)}, start);
+    note_outcome(health, target_outcome::unreachable, {}, start);
     CPPUNIT_ASSERT(health.blocked_until - start == milliseconds(250));
 }
 
 void failing_targets_become_doubtful_and_recover() {
     target_health health;
     for (int i = 0; i < 4; ++i) {
-        note_outcome(health, target_outcome::failed, milliseconds(10), 0, 1, start);
+        note_outcome(health, target_outcome::failed, {}, start);
     }
-    CPPUNIT_ASSERT(is_doubtful(health, milliseconds(100)));
+    CPPUNIT_ASSERT(is_doubtful(health));
     for (int i = 0; i < 4; ++i) {
-        note_outcome(health, target_outcome::answered, milliseconds(100), 0, 1, start);
+        note_outcome(health, target_outcome::answered, {milliseconds(100), milliseconds(100)}, start);
     }
-    CPPUNIT_ASSERT(!is_doubtful(health, milliseconds(100)));
+    CPPUNIT_ASSERT(!is_doubtful(health));
 }
 
 void slow_targets_become_doubtful() {
     target_health health;
-    note_outcome(health, target_outcome::answered, milliseconds(500), 1, 4, start);
-    CPPUNIT_ASSERT(is_doubtful(health, milliseconds(100)));
+    note_outcome(health, target_outcome::answered, {milliseconds(500), milliseconds(100)}, start);
+    CPPUNIT_ASSERT(is_doubtful(health));
 }
 
 void waiting_for_a_slot_does_not_count_as_slowness() {
     target_health health;
-    note_outcome(health, target_outcome::answered, milliseconds(300), 12, 4, start);
-    CPPUNIT_ASSERT(health.service_time == milliseconds(100));
+    const milliseconds own = time_without_waiting(milliseconds(300), 12, 4);
+    CPPUNIT_ASSERT(own == milliseconds(100));
+    note_outcome(health, target_outcome::answered, {own, milliseconds(100)}, start);
+    CPPUNIT_ASSERT_EQUAL(1.0, health.slowness);
+    CPPUNIT_ASSERT(!is_doubtful(health));
+}
+
+// A target that has just joined is cold for every object: its first runs say nothing against it.
+void cold_runs_do_not_count_as_slowness() {
+    target_health health;
+    for (int i = 0; i < 20; ++i) {
+        note_outcome(health, target_outcome::answered, {milliseconds(340), milliseconds(330)}, start);
+    }
+    CPPUNIT_ASSERT(!is_doubtful(health));
 }
 
 struct pressure_row {
@@ -158,6 +170,7 @@
              {"failing targets become doubtful and recover", failing_targets_become_doubtful_and_recover},
              {"slow targets become doubtful", slow_targets_become_doubtful},
              {"waiting for a slot does not count as slowness", waiting_for_a_slot_does_not_count_as_slowness},
+             {"cold runs do not count as slowness", cold_runs_do_not_count_as_slowness},
              {"recent uses expire", recent_uses_expire}},
             run_scenario);
 
