--- a/packages/policy/region_shift.cpp
+++ b/packages/policy/region_shift.cpp
@@ -67,4 +67,16 @@
     return after <= before + terms.max_growth + grain;
 }
 
+std::set<std::string> open_regions(region_shift& shift, const shift_terms& terms,
+                                   const std::set<std::string>& regions, const region_shares& shares,
+                                   const std::string& own, const std::string& planned, instant now) {
+    std::set<std::string> open;
+    for (const std::string& region : regions) {
+        if (region == planned || may_grow(shift, terms, region, share_of(shares, own, region), now)) {
+            open.insert(region);
+        }
+    }
+    return open;
+}
+
 } // namespace cassiaspan
--- a/packages/policy/region_shift.h
+++ b/packages/policy/region_shift.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include "clock.h"
+#include "region_shares.h"
 
 #include <array>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace cassiaspan {
@@ -45,4 +47,11 @@
 [[nodiscard]] bool may_grow(region_shift& shift, const shift_terms& terms, const std::string& region,
                             double planned_share, instant now);
 
+// Returns those of the regions that may take a request for an object now. The region that the plan gives the
+// object stays open: plans move slowly enough by themselves. `shares` is the plan for callers of `own`.
+[[nodiscard]] std::set<std::string> open_regions(region_shift& shift, const shift_terms& terms,
+                                                 const std::set<std::string>& regions,
+                                                 const region_shares& shares, const std::string& own,
+                                                 const std::string& planned, instant now);
+
 } // namespace cassiaspan
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -65,21 +65,18 @@
     return candidate;
 }
 
-// Drops targets of regions whose share of the requests may not grow now, unless no others are left.
-void keep_open_regions(node_core& core, const region_shares& shares, std::vector<target_ptr>& targets,
-                       instant now) {
-    std::map<std::string, bool> is_open;
+// Drops targets of regions that may not take the request now, unless no others are left.
+void keep_open_regions(node_core& core, const region_shares& shares, const std::string& key_region,
+                       std::vector<target_ptr>& targets, instant now) {
+    std::set<std::string> regions;
     for (const target_ptr& target : targets) {
-        const auto [found, is_new] = is_open.try_emplace(target->info.region, false);
-        if (is_new) {
-            const double planned = share_of(shares, core.settings.region, target->info.region);
-            found->second = may_grow(core.shift, core.settings.shifts, target->info.region, planned, now);
-        }
+        regions.insert(target->info.region);
     }
-    const bool any_open =
-        std::any_of(is_open.begin(), is_open.end(), [](const auto& region) { return region.second; });
-    if (any_open) {
-        std::erase_if(targets, [&](const target_ptr& target) { return !is_open[target->info.region]; });
+    const std::set<std::string> open = open_regions(core.shift, core.settings.shifts, regions, shares,
+                                                    core.settings.region, key_region, now);
+    if (!open.empty()) {
+        std::erase_if(targets,
+                      [&](const target_ptr& target) { return open.count(target->info.region) == 0; });
     }
 }
 
@@ -108,9 +105,9 @@
             targets.push_back(target);
         }
     }
-    keep_open_regions(core, learned.shares, targets, now);
     const std::string& own = core.settings.region;
     const std::string& key_region = plan.affinity ? region_of_key(learned.shares, own, *plan.affinity) : own;
+    keep_open_regions(core, learned.shares, key_region, targets, now);
     candidates.reserve(targets.size());
     for (const target_ptr& target : targets) {
         candidates.push_back(describe(core, *target, plan.affinity, key_region, now));
--- a/test/correctness/budgets_test.cpp
+++ b/test/correctness/budgets_test.cpp
@@ -248,6 +248,25 @@
     CPPUNIT_ASSERT(may_grow(shift, terms, "near", 1, later));
 }
 
+// With few requests, shares jump by chance. A request for an object that belongs to the near region must not
+// be sent away for that: it would be cold there.
+void the_plan_is_followed_under_the_cap() {
+    region_shift shift;
+    const shift_terms terms{0.15, milliseconds(2000)};
+    const region_shares shares{{"near", 0.9}, {"far", 0.1}};
+    for (int i = 0; i < 6; ++i) {
+        note_region(shift, terms, i % 2 == 0 ? "far" : "near", start);
+    }
+    const instant later = start + milliseconds(2000);
+    for (int i = 0; i < 20; ++i) {
+        note_region(shift, terms, "near", later);
+    }
+    const std::set<std::string> regions{"near", "far"};
+    CPPUNIT_ASSERT(open_regions(shift, terms, regions, shares, "near", "near", later) == regions);
+    CPPUNIT_ASSERT(open_regions(shift, terms, regions, shares, "near", "far", later) ==
+                   std::set<std::string>{"far"});
+}
+
 const test_table<scenario>
     details("budget details",
             {{"restarted copies do not renew the burst", restarted_copies_do_not_renew_the_burst},
@@ -256,7 +275,8 @@
              {"unlimited workspaces are never refused", unlimited_workspaces_are_never_refused},
              {"the wait is that of the next token", the_wait_is_that_of_the_next_token},
              {"a start is no shift", a_start_is_no_shift},
-             {"a pause is a new start", a_pause_is_a_new_start}},
+             {"a pause is a new start", a_pause_is_a_new_start},
+             {"the plan is followed under the cap", the_plan_is_followed_under_the_cap}},
             run_scenario);
 
 } // namespace
