--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -83,7 +83,8 @@
     const auto primary = std::min_element(candidates.begin(), candidates.end(), comes_first);
     const bool any_used = std::any_of(candidates.begin(), candidates.end(),
                                       [](const placement_candidate& each) { return each.used_lately; });
-    const bool trust_primary = request.explore || !any_used;
+    const bool trust_primary =
+        request.explore || (request.explore_joined && primary->joined_lately) || !any_used;
     const std::optional<std::size_t> spill = choose_spill(candidates, request, *primary);
     std::optional<std::size_t> best;
     prospect best_seen;
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -36,6 +36,8 @@
     bool used_lately = false;
     // The target has been failing and is only used when no other has room.
     bool doubtful = false;
+    // The target has joined lately: objects that now belong to it are still warm elsewhere.
+    bool joined_lately = false;
     auto operator<=>(const placement_candidate&) const = default;
 };
 
@@ -49,6 +51,8 @@
     // Sends the request to the key's primary target even when another target is known to be warm, so that a
     // target that has joined gets its part of the objects.
     bool explore = false;
+    // The same, when the primary target has joined lately.
+    bool explore_joined = false;
     // Longest expected finish, counted from now, for which waiting at a target is of use.
     milliseconds patience{};
     auto operator<=>(const placement_request&) const = default;
--- a/packages/proxy/fleet_hubs.cpp
+++ b/packages/proxy/fleet_hubs.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t hubs_per_region = 2;
+constexpr std::size_t hubs_per_zone = 2;
 // A VM that has just become known is taken to be there for this time.
 constexpr milliseconds first_hearing{2000};
 
@@ -22,32 +22,33 @@
     return core.peers.by_name.size() + 1 > max_mesh_vms;
 }
 
-std::vector<std::string> hubs_of(const node_core& core, const std::string& region) {
+std::vector<std::string> hubs_of(const node_core& core, const std::string& availability_zone) {
     const instant now = now_of(core);
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
-    if (region == core.settings.region && is_accepting(core)) {
+    if (availability_zone == core.settings.availability_zone && is_accepting(core)) {
         ranked.emplace_back(stable_hash(core.settings.vm), core.settings.vm);
     }
     for (const auto& [name, peer] : core.peers.by_name) {
-        if (peer.region == region && is_present(peer, now)) {
+        if (peer.availability_zone == availability_zone && is_present(peer, now)) {
             ranked.emplace_back(stable_hash(name), name);
         }
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> hubs;
-    for (std::size_t i = 0; i < std::min(ranked.size(), hubs_per_region); ++i) {
+    for (std::size_t i = 0; i < std::min(ranked.size(), hubs_per_zone); ++i) {
         hubs.push_back(ranked[i].second);
     }
     return hubs;
 }
 
-bool is_hub(const node_core& core) {
-    const std::vector<std::string> hubs = hubs_of(core, core.settings.region);
-    return std::find(hubs.begin(), hubs.end(), core.settings.vm) != hubs.end();
+std::optional<std::size_t> hub_rank(const node_core& core) {
+    const std::vector<std::string> hubs = hubs_of(core, core.settings.availability_zone);
+    const auto found = std::find(hubs.begin(), hubs.end(), core.settings.vm);
+    return found == hubs.end() ? std::nullopt : std::optional<std::size_t>(found - hubs.begin());
 }
 
 bool reads_store(const node_core& core) {
-    return !core.config || !has_hubs(core) || is_hub(core);
+    return !core.config || !has_hubs(core) || hub_rank(core) == std::size_t{0};
 }
 
 } // namespace cassiaspan
--- a/packages/proxy/gossip.cpp
+++ b/packages/proxy/gossip.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t max_datagram = 60'000;
 // In a large fleet, VMs report to their hubs every so many rounds.
 constexpr std::uint64_t report_rounds = 2;
-// The second hub of a region forwards every so many rounds, so that VMs are still heard when the first one
+// The second hub of a zone forwards every so many rounds, so that VMs are still heard when the first one
 // ends.
 constexpr std::uint64_t standby_rounds = 3 * far_rounds;
 // Reports that a hub passes on in one datagram.
@@ -65,22 +65,49 @@
     });
 }
 
-std::set<std::string> far_hubs_of(const node_core& core) {
-    std::set<std::string> regions;
-    for (const auto& [zone, region] : core.settings.region_by_zone) {
-        if (region != core.settings.region) {
-            regions.insert(region);
-        }
-    }
+// Returns the hubs of all other availability zones.
+std::set<std::string> other_hubs_of(const node_core& core) {
     std::set<std::string> hubs;
-    for (const std::string& region : regions) {
-        for (const std::string& hub : hubs_of(core, region)) {
-            hubs.insert(hub);
+    for (const auto& [zone, region] : core.settings.region_by_zone) {
+        if (zone != core.settings.availability_zone) {
+            for (const std::string& hub : hubs_of(core, zone)) {
+                hubs.insert(hub);
+            }
         }
     }
     return hubs;
 }
 
+// Collects reports into datagrams of bounded size, each beginning with the sender's own report.
+class report_bundle {
+public:
+    explicit report_bundle(const schema::Gossip& own) : part(own) {}
+
+    void add(const schema::Gossip& report) {
+        *this->part.add_forwarded() = report;
+        if (this->part.forwarded_size() >= max_forwarded) {
+            this->flush();
+        }
+    }
+
+    // Returns the datagrams; the first one also without any report added.
+    const std::vector<std::string>& finish() {
+        if (this->part.forwarded_size() > 0 || this->datagrams.empty()) {
+            this->flush();
+        }
+        return this->datagrams;
+    }
+
+private:
+    void flush() {
+        this->datagrams.push_back(this->part.SerializeAsString());
+        this->part.clear_forwarded();
+    }
+
+    schema::Gossip part;
+    std::vector<std::string> datagrams;
+};
+
 } // namespace
 
 error_code gossip_socket::open() {
@@ -168,60 +195,68 @@
         return;
     }
     const schema::Gossip own = this->next_report();
+    const std::vector<std::string> hubs = hubs_of(this->core, this->core.settings.availability_zone);
+    const std::optional<std::size_t> rank = hub_rank(this->core);
+    const std::uint64_t rounds = rank == std::size_t{0} ? far_rounds : standby_rounds;
+    const bool forwards = rank && round % rounds == 0;
+    // The first hub tells the other zones in each round: it is their hubs that pass it on.
+    if (forwards || rank == std::size_t{0}) {
+        this->forward_zone(own);
+    }
+    if (forwards) {
+        this->forward_to_zone(own);
+        return;
+    }
     const std::string report = own.SerializeAsString();
-    const std::vector<std::string> hubs = hubs_of(this->core, this->core.settings.region);
     for (const std::string& hub : hubs) {
         if (hub != this->core.settings.vm) {
             this->send_to(this->core.peers.by_name.at(hub).gossip_address, report);
         }
     }
-    const auto own_rank = std::find(hubs.begin(), hubs.end(), this->core.settings.vm);
-    const std::uint64_t rounds = own_rank == hubs.begin() ? far_rounds : standby_rounds;
-    if (own_rank != hubs.end() && round % rounds == 0) {
-        this->forward_reports(own);
-    }
 }
 
-void gossip_socket::forward_reports(const schema::Gossip& own) {
-    const std::set<std::string> far_hubs = far_hubs_of(this->core);
+// Tells the other zones' hubs what the own zone reports. Loads of targets stay within the region, as the
+// bytes matter more elsewhere than they do.
+void gossip_socket::forward_zone(const schema::Gossip& own) {
+    schema::Gossip far_own = own;
+    far_own.clear_target_uses();
+    report_bundle near(own);
+    report_bundle far(far_own);
     const bool whole = tells_addresses(own);
-    std::vector<std::string> region_reports{own.SerializeAsString()};
-    std::vector<std::string> all_reports = region_reports;
-    schema::Gossip region_part = own;
-    schema::Gossip far_part = own;
-    const auto flush = [](schema::Gossip& part, std::vector<std::string>& reports) {
-        if (part.forwarded_size() > 0) {
-            reports.push_back(part.SerializeAsString());
-            part.clear_forwarded();
-        }
-    };
     for (auto& [name, peer] : this->core.peers.by_name) {
-        if (!is_heard(peer, now_of(this->core))) {
-            continue;
-        }
-        const bool is_near = peer.region == this->core.settings.region;
-        schema::Gossip& part = is_near ? region_part : far_part;
-        *part.add_forwarded() = make_forwarded(peer, is_near, whole);
-        if (part.forwarded_size() >= max_forwarded) {
-            if (is_near) {
-                flush(region_part, region_reports);
-            } else {
-                flush(far_part, all_reports);
-            }
+        if (is_heard(peer, now_of(this->core)) &&
+            peer.availability_zone == this->core.settings.availability_zone) {
+            schema::Gossip report = make_forwarded(peer, peer.forwarded_to_zones, true, whole);
+            near.add(report);
+            report.clear_target_uses();
+            far.add(report);
         }
     }
-    flush(region_part, region_reports);
-    flush(far_part, all_reports);
-    for (const auto& [name, peer] : this->core.peers.by_name) {
+    for (const std::string& hub : other_hubs_of(this->core)) {
+        const peer_vm& peer = this->core.peers.by_name.at(hub);
         const bool is_near = peer.region == this->core.settings.region;
-        if (!is_near && far_hubs.count(name) == 0) {
-            continue;
-        }
-        for (const std::string& datagram : region_reports) {
+        for (const std::string& datagram : (is_near ? near : far).finish()) {
             this->send_to(peer.gossip_address, datagram);
         }
-        for (std::size_t i = 1; is_near && i < all_reports.size(); ++i) {
-            this->send_to(peer.gossip_address, all_reports[i]);
+    }
+}
+
+// Tells the VMs of the own zone what all VMs report.
+void gossip_socket::forward_to_zone(const schema::Gossip& own) {
+    report_bundle bundle(own);
+    const bool whole = tells_addresses(own);
+    for (auto& [name, peer] : this->core.peers.by_name) {
+        if (is_heard(peer, now_of(this->core))) {
+            const bool is_near = peer.region == this->core.settings.region;
+            bundle.add(make_forwarded(peer, peer.forwarded_in_zone, is_near, whole));
+        }
+    }
+    const std::vector<std::string>& datagrams = bundle.finish();
+    for (const auto& [name, peer] : this->core.peers.by_name) {
+        if (peer.availability_zone == this->core.settings.availability_zone) {
+            for (const std::string& datagram : datagrams) {
+                this->send_to(peer.gossip_address, datagram);
+            }
         }
     }
 }
--- a/packages/proxy/gossip.h
+++ b/packages/proxy/gossip.h
@@ -28,8 +28,8 @@
     void send_to_all(std::uint64_t round);
     void send_by_hubs(std::uint64_t round);
     void send_to_seeds(const std::string& datagram);
-    // Passes on what was reported, to the own region's VMs and to the other regions' hubs.
-    void forward_reports(const schema::Gossip& own);
+    void forward_zone(const schema::Gossip& own);
+    void forward_to_zone(const schema::Gossip& own);
     void send_to(const socket_address& address, const std::string& datagram);
 
     node_core& core;
--- a/packages/proxy/news_exchange.cpp
+++ b/packages/proxy/news_exchange.cpp
@@ -3,6 +3,7 @@
 #include "accept_loop.h"
 #include "fleet_hubs.h"
 #include "h2_session.h"
+#include "news_source.h"
 #include "socket_deadline.h"
 
 #include <algorithm>
@@ -18,7 +19,7 @@
 // get the store's answers.
 constexpr milliseconds behind_time{250};
 constexpr milliseconds check_interval{100};
-constexpr milliseconds pull_timeout{1000};
+constexpr milliseconds pull_timeout{600};
 constexpr milliseconds peer_silence{1000};
 constexpr std::size_t read_piece = std::size_t{16} * 1024;
 // Streams of one peer's connection are few; an idle connection is closed after this time.
@@ -70,19 +71,18 @@
     }
 }
 
-const peer_vm* choose_source(const node_core& core) {
+const peer_vm* choose_source(node_core& core) {
     const instant now = now_of(core);
-    const peer_vm* best = nullptr;
-    const auto rank = [&core](const peer_vm& peer) {
-        return std::make_pair(peer.store_revision, peer.region == core.settings.region);
-    };
+    std::vector<const peer_vm*> peers;
+    std::vector<news_source> sources;
     for (const auto& [name, peer] : core.peers.by_name) {
-        if (is_heard(peer, now) && peer.store_revision > core.mirror.revision &&
-            (best == nullptr || rank(peer) > rank(*best))) {
-            best = &peer;
+        if (is_heard(peer, now)) {
+            peers.push_back(&peer);
+            sources.push_back({peer.store_revision, peer.region == core.settings.region});
         }
     }
-    return best;
+    const auto chosen = choose_news_source(sources, core.mirror.revision, core.random());
+    return chosen ? peers[*chosen] : nullptr;
 }
 
 asio::awaitable<bool> pull_from(node_core& core, socket_address address) {
--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -19,6 +19,12 @@
 // A silent VM still counts for shares of budgets until its record is gone and this time has passed.
 constexpr milliseconds peer_memory{10'000};
 
+// The latest counts of a VM that were passed on, by the lower half of the hash of workspace and service.
+struct forwarded_counts {
+    std::unordered_map<std::uint32_t, std::uint64_t> workspace_uses;
+    std::unordered_map<std::uint32_t, std::uint64_t> service_demands;
+};
+
 struct peer_vm {
     std::string name;
     std::string availability_zone;
@@ -39,9 +45,9 @@
     std::unordered_map<std::uint32_t, std::uint32_t> target_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> workspace_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> service_demands;
-    // What of it this VM, as a hub, has passed on.
-    std::unordered_map<std::uint32_t, std::uint64_t> forwarded_uses;
-    std::unordered_map<std::uint32_t, std::uint64_t> forwarded_demands;
+    // What of it this VM, as a hub, has passed on to the hubs of other zones, and within its own.
+    forwarded_counts forwarded_to_zones;
+    forwarded_counts forwarded_in_zone;
 };
 
 struct peer_table {
--- a/packages/proxy/store_watcher.cpp
+++ b/packages/proxy/store_watcher.cpp
@@ -14,7 +14,7 @@
 // How long one watch waits. A store that is silent is noticed after this time and the client's own timeout.
 constexpr milliseconds watch_wait{1500};
 // Changes that come in quick succession are read together.
-constexpr milliseconds batch_time{60};
+constexpr milliseconds batch_time{150};
 constexpr milliseconds first_retry{80};
 constexpr milliseconds max_retry{700};
 // How often a VM that does not read the store looks whether it is to read it.
@@ -56,8 +56,10 @@
     co_await sleep_for(core.context, milliseconds(static_cast<std::int64_t>(time)));
 }
 
-asio::awaitable<bool> read_everything(node_core& core, metadata_store& store) {
-    const auto read = co_await store.read_all(watched_prefix);
+// The first read may be stale: the watch that follows it tells what has changed since. After lost history it
+// must not be, as the watch would be told so again.
+asio::awaitable<bool> read_everything(node_core& core, metadata_store& store, bool may_be_stale) {
+    const auto read = co_await store.read_all(watched_prefix, may_be_stale);
     note_answer(core, read.has_value(), "read", read ? "answered" : to_string(read.error()));
     if (!read) {
         co_return false;
@@ -106,12 +108,14 @@
 
 asio::awaitable<void> watch_store(node_core& core, metadata_store& store) {
     milliseconds wait = first_retry;
+    bool may_be_stale = true;
     for (;;) {
-        const bool complete = co_await read_everything(core, store);
+        const bool complete = co_await read_everything(core, store, may_be_stale);
         if (!complete) {
             co_await back_off(core, wait);
             continue;
         }
+        may_be_stale = false;
         wait = first_retry;
         co_await watch_changes(core, store);
     }
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -14,6 +14,9 @@
 
 // One request in so many goes to its key's primary target although another target is known to be warm.
 constexpr std::uint64_t exploring_share = 16;
+// The same for a primary target that has joined within this time: callers gain from its slots soon.
+constexpr std::uint64_t exploring_share_joined = 3;
+constexpr milliseconds joining_time{10'000};
 // How far a target's own times are taken to differ from the usual of its service.
 constexpr double min_slowness = 0.5;
 constexpr double max_slowness = 8;
@@ -61,6 +64,7 @@
                            : near                                      ? near_round_trip
                                                                        : far_round_trip;
     candidate.region_rank = target.info.region == key_region ? 0 : near ? 1 : 2;
+    candidate.joined_lately = now - target.first_seen < joining_time;
     candidate.doubtful = is_doubtful(target.health);
     return candidate;
 }
@@ -114,8 +118,9 @@
     }
     const auto left = std::chrono::duration_cast<milliseconds>(plan.objective_at - now);
     const bool explore = core.random() % exploring_share == 0;
-    const placement placed = place_request(
-        candidates, {plan.affinity, times.warm, times.cold, explore, std::max(left, milliseconds(0))});
+    const bool explore_joined = core.random() % exploring_share_joined == 0;
+    const placement placed = place_request(candidates, {plan.affinity, times.warm, times.cold, explore,
+                                                        explore_joined, std::max(left, milliseconds(0))});
     if (!placed.index) {
         return {nullptr, placed.expected_finish, !any_usable};
     }
--- a/packages/proxy/target_table.cpp
+++ b/packages/proxy/target_table.cpp
@@ -38,6 +38,7 @@
         target->cold_until = std::max(target->cold_until, now + info.cold_remaining);
     }
     if (is_new) {
+        target->first_seen = now;
         this->link(target);
     }
     return changed;
--- a/packages/proxy/target_table.h
+++ b/packages/proxy/target_table.h
@@ -41,6 +41,7 @@
     // Hash of the id, equal on all VMs.
     std::uint64_t identity = 0;
     target_health health;
+    instant first_seen;
     cold_pacing cold;
     instant cold_until;
     // The target was unreachable or broke off: it may come back cold before its entry says so.
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -121,16 +121,14 @@
     return !gossip.sender().gossip_address().empty();
 }
 
-schema::Gossip make_forwarded(peer_vm& peer, bool is_near, bool whole) {
+schema::Gossip make_forwarded(const peer_vm& peer, forwarded_counts& before, bool with_targets, bool whole) {
     schema::Gossip forwarded;
     forwarded.mutable_sender()->set_name(peer.name);
     forwarded.mutable_sender()->set_started_ms(peer.started_ms);
     forwarded.set_sequence(peer.sequence);
     forwarded.set_accepting(peer.accepting);
     forwarded.set_store_revision(peer.store_revision);
-    // VMs of one region share its targets; loads elsewhere matter less than the bytes that telling them
-    // takes.
-    if (is_near) {
+    if (with_targets) {
         for (const auto& [target, in_flight] : peer.target_uses) {
             schema::TargetUse& use = *forwarded.add_target_uses();
             use.set_target(target);
@@ -138,7 +136,7 @@
         }
     }
     for (const auto& [workspace, admitted] : peer.workspace_uses) {
-        std::uint64_t& told = peer.forwarded_uses[workspace];
+        std::uint64_t& told = before.workspace_uses[workspace];
         if (whole || told != admitted) {
             schema::WorkspaceUse& use = *forwarded.add_workspace_uses();
             use.set_workspace(workspace);
@@ -147,7 +145,7 @@
         }
     }
     for (const auto& [service, asked] : peer.service_demands) {
-        std::uint64_t& told = peer.forwarded_demands[service];
+        std::uint64_t& told = before.service_demands[service];
         if (whole || told != asked) {
             schema::ServiceDemand& demand = *forwarded.add_service_demands();
             demand.set_service(service);
--- a/packages/proxy/vm_report.h
+++ b/packages/proxy/vm_report.h
@@ -17,9 +17,10 @@
 // Returns whether the report tells how its sender is reached.
 [[nodiscard]] bool tells_addresses(const schema::Gossip& report);
 
-// Returns another VM's report as a hub passes it on: the uses that have grown since it last did, or all.
-// Loads at targets are only passed on for VMs of the own region.
-[[nodiscard]] schema::Gossip make_forwarded(peer_vm& peer, bool is_near, bool whole);
+// Returns another VM's report as a hub passes it on: the counts that have grown since `before`, or all of
+// them.
+[[nodiscard]] schema::Gossip make_forwarded(const peer_vm& peer, forwarded_counts& before, bool with_targets,
+                                            bool whole);
 
 // Takes in a datagram. Returns false when it is unreadable, old, or the VM's own.
 bool take_gossip(node_core& core, const std::string& datagram);
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -34,7 +34,7 @@
 
 void check_choice(const choice_row& row) {
     // The candidates stand around the primary target of key 7, which primary_of_seven() finds.
-    const placement placed = place_request(row.candidates, {7, warm, cold, row.explore, row.patience});
+    const placement placed = place_request(row.candidates, {7, warm, cold, row.explore, true, row.patience});
     CPPUNIT_ASSERT_EQUAL(row.expected, placed.index ? static_cast<int>(*placed.index) : -1);
 }
 
@@ -48,9 +48,14 @@
     return candidate;
 }
 
+placement_candidate joined(placement_candidate candidate) {
+    candidate.joined_lately = true;
+    return candidate;
+}
+
 int primary_of_seven() {
     const std::vector<placement_candidate> pair{target(11, 0), target(12, 0)};
-    return static_cast<int>(*place_request(pair, {7, warm, cold, false, milliseconds(1000)}).index);
+    return static_cast<int>(*place_request(pair, {7, warm, cold, false, false, milliseconds(1000)}).index);
 }
 
 std::vector<choice_row> make_choice_rows() {
@@ -81,6 +86,11 @@
          patient,
          1},
         {"explores the primary target", {target(primary, 0), used(target(other, 2))}, true, patient, 0},
+        {"a primary target that has joined lately",
+         {joined(target(primary, 0)), used(target(other, 2))},
+         false,
+         patient,
+         0},
         {"a far warm target when the near one is full",
          {used(target(primary, 30)), used(target(other, 0, false))},
          false,
@@ -109,7 +119,7 @@
         for (std::uint64_t identity = 11; identity < 17; ++identity) {
             idle.push_back(target(identity, 0));
         }
-        const auto primary = *place_request(idle, {key, warm, cold, false, milliseconds(1000)}).index;
+        const auto primary = *place_request(idle, {key, warm, cold, false, false, milliseconds(1000)}).index;
         std::optional<std::size_t> spill;
         for (int vm = 0; vm < 8; ++vm) {
             std::vector<placement_candidate> seen = idle;
@@ -117,7 +127,7 @@
                 candidate.load = static_cast<double>(random() % 3);
             }
             seen[primary].load = 60;
-            const placement placed = place_request(seen, {key, warm, cold, false, milliseconds(2000)});
+            const placement placed = place_request(seen, {key, warm, cold, false, false, milliseconds(2000)});
             CPPUNIT_ASSERT(placed.index && *placed.index != primary);
             CPPUNIT_ASSERT(!spill || *spill == *placed.index);
             spill = placed.index;
@@ -187,7 +197,8 @@
                 candidate.used_lately = std::find(kept.begin(), kept.end(), key) != kept.end();
                 candidates.push_back(candidate);
             }
-            const placement placed = place_request(candidates, {key, warm, cold, false, milliseconds(150)});
+            const placement placed =
+                place_request(candidates, {key, warm, cold, false, false, milliseconds(150)});
             if (!placed.index) {
                 continue;
             }
