Make the VMs with the widest links hubs; tell far regions every other round

Ruled out: the event loop (at most 22 ms late), the store.

Change: VM records tell the bandwidth of the link; hubs are ranked by it.

--- a/packages/proxy/fleet_hubs.cpp
+++ b/packages/proxy/fleet_hubs.cpp
@@ -3,6 +3,7 @@
 #include "stable_hash.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cassiaspan {
 
@@ -24,19 +25,22 @@
 
 std::vector<std::string> hubs_of(const node_core& core, const std::string& availability_zone) {
     const instant now = now_of(core);
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    // Wider links come first.
+    constexpr auto narrowness = [](std::uint32_t link_mbps) { return -static_cast<std::int64_t>(link_mbps); };
+    std::vector<std::tuple<std::int64_t, std::uint64_t, std::string>> ranked;
     if (availability_zone == core.settings.availability_zone && is_accepting(core)) {
-        ranked.emplace_back(stable_hash(core.settings.vm), core.settings.vm);
+        ranked.emplace_back(narrowness(core.settings.link_mbps), stable_hash(core.settings.vm),
+                            core.settings.vm);
     }
     for (const auto& [name, peer] : core.peers.by_name) {
         if (peer.availability_zone == availability_zone && is_present(peer, now)) {
-            ranked.emplace_back(stable_hash(name), name);
+            ranked.emplace_back(narrowness(peer.link_mbps), stable_hash(name), name);
         }
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> hubs;
     for (std::size_t i = 0; i < std::min(ranked.size(), hubs_per_zone); ++i) {
-        hubs.push_back(ranked[i].second);
+        hubs.push_back(std::get<std::string>(ranked[i]));
     }
     return hubs;
 }
--- a/packages/proxy/fleet_hubs.h
+++ b/packages/proxy/fleet_hubs.h
@@ -19,7 +19,7 @@
 [[nodiscard]] bool has_hubs(const node_core& core);
 
 // Returns the names of the zone's hubs: of the VMs that are heard, or have just become known, those with the
-// lowest hashes.
+// widest links, as a hub sends to its whole zone at once; then those with the lowest hashes.
 [[nodiscard]] std::vector<std::string> hubs_of(const node_core& core, const std::string& availability_zone);
 
 // Returns this VM's place among the hubs of its zone; nothing when it is none.
--- a/packages/proxy/gossip.cpp
+++ b/packages/proxy/gossip.cpp
@@ -46,6 +46,7 @@
         record.set_peer_address(render_address(peer.peer_address));
         record.set_gossip_address(render_address(peer.gossip_address));
         record.set_started_ms(peer.started_ms);
+        record.set_link_mbps(peer.link_mbps);
     }
 }
 
@@ -199,9 +200,9 @@
     const std::optional<std::size_t> rank = hub_rank(this->core);
     const std::uint64_t rounds = rank == std::size_t{0} ? far_rounds : standby_rounds;
     const bool forwards = rank && round % rounds == 0;
-    // The first hub tells the other zones in each round: it is their hubs that pass it on.
+    // The first hub tells the region's other zones in each round: it is their hubs that pass it on.
     if (forwards || rank == std::size_t{0}) {
-        this->forward_zone(own);
+        this->forward_zone(own, forwards);
     }
     if (forwards) {
         this->forward_to_zone(own);
@@ -217,7 +218,7 @@
 
 // Tells the other zones' hubs what the own zone reports. Loads of targets stay within the region, as the
 // bytes matter more elsewhere than they do.
-void gossip_socket::forward_zone(const schema::Gossip& own) {
+void gossip_socket::forward_zone(const schema::Gossip& own, bool to_far_regions) {
     schema::Gossip far_own = own;
     far_own.clear_target_uses();
     report_bundle near(own);
@@ -226,15 +227,18 @@
     for (auto& [name, peer] : this->core.peers.by_name) {
         if (is_heard(peer, now_of(this->core)) &&
             peer.availability_zone == this->core.settings.availability_zone) {
-            schema::Gossip report = make_forwarded(peer, peer.forwarded_to_zones, true, whole);
-            near.add(report);
-            report.clear_target_uses();
-            far.add(report);
+            near.add(make_forwarded(peer, peer.forwarded_to_zones, true, whole));
+            if (to_far_regions) {
+                far.add(make_forwarded(peer, peer.forwarded_to_regions, false, whole));
+            }
         }
     }
     for (const std::string& hub : other_hubs_of(this->core)) {
         const peer_vm& peer = this->core.peers.by_name.at(hub);
         const bool is_near = peer.region == this->core.settings.region;
+        if (!is_near && !to_far_regions) {
+            continue;
+        }
         for (const std::string& datagram : (is_near ? near : far).finish()) {
             this->send_to(peer.gossip_address, datagram);
         }
--- a/packages/proxy/gossip.h
+++ b/packages/proxy/gossip.h
@@ -28,7 +28,7 @@
     void send_to_all(std::uint64_t round);
     void send_by_hubs(std::uint64_t round);
     void send_to_seeds(const std::string& datagram);
-    void forward_zone(const schema::Gossip& own);
+    void forward_zone(const schema::Gossip& own, bool to_far_regions);
     void forward_to_zone(const schema::Gossip& own);
     void send_to(const socket_address& address, const std::string& datagram);
 
--- a/packages/proxy/node_settings.h
+++ b/packages/proxy/node_settings.h
@@ -40,6 +40,8 @@
     milliseconds stop_grace{6000};
     // Longest time that a look-up may be cached.
     seconds max_lookup_ttl{5};
+    // Bandwidth of the VM's link, Mbit/s; 0 where the platform does not tell it.
+    std::uint32_t link_mbps = 0;
     // How many open files the process may have.
     std::size_t max_descriptors = 1024;
     // Metrics listener; port 0 means none.
--- a/packages/proxy/peer_table.cpp
+++ b/packages/proxy/peer_table.cpp
@@ -24,6 +24,7 @@
     }
     peer.availability_zone = record.availability_zone();
     peer.region = record.region();
+    peer.link_mbps = record.link_mbps();
     peer.caller_address = *caller;
     peer.peer_address = *peer_address;
     peer.gossip_address = *gossip;
--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -33,6 +33,7 @@
     socket_address peer_address;
     socket_address gossip_address;
     std::uint64_t started_ms = 0;
+    std::uint32_t link_mbps = 0;
     // The store holds the VM's record.
     bool recorded = false;
 
@@ -45,8 +46,10 @@
     std::unordered_map<std::uint32_t, std::uint32_t> target_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> workspace_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> service_demands;
-    // What of it this VM, as a hub, has passed on to the hubs of other zones, and within its own.
+    // What of it this VM, as a hub, has passed on to the hubs of other zones and regions, and within its
+    // zone.
     forwarded_counts forwarded_to_zones;
+    forwarded_counts forwarded_to_regions;
     forwarded_counts forwarded_in_zone;
 };
 
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -74,6 +74,7 @@
     record.set_peer_address(render_address(core.settings.peer_address));
     record.set_gossip_address(render_address(core.settings.gossip_address));
     record.set_started_ms(core.started_ms);
+    record.set_link_mbps(core.settings.link_mbps);
     return record;
 }
 
