Charge a workspace when its request is sent, not when it is read

Cause: a request that was refused for want of room or of a target had already taken a token, so that a workspace inside its rate was refused as over it later. Test: a VM without usable targets answered 429 after five refusals and still after a target was back.

--- a/packages/policy/fleet_bucket.cpp
+++ b/packages/policy/fleet_bucket.cpp
@@ -57,14 +57,22 @@
                              bucket.tokens + contract.rate * share * passed.count());
 }
 
-bool take_token(fleet_bucket& bucket, const bucket_contract& contract, const bucket_sharers& sharers,
-                instant now) {
+bool has_token(fleet_bucket& bucket, const bucket_contract& contract, const bucket_sharers& sharers,
+               instant now) {
     if (contract.rate <= 0) {
         return true;
     }
     refill(bucket, contract, sharers, now);
     const bool is_scarce = sharers.total > 1 && bucket.tokens < scarce_part * contract.burst;
-    if (bucket.tokens < 1 || (is_scarce && bucket.pace_tokens < 1)) {
+    return bucket.tokens >= 1 && !(is_scarce && bucket.pace_tokens < 1);
+}
+
+bool take_token(fleet_bucket& bucket, const bucket_contract& contract, const bucket_sharers& sharers,
+                instant now) {
+    if (contract.rate <= 0) {
+        return true;
+    }
+    if (!has_token(bucket, contract, sharers, now)) {
         return false;
     }
     bucket.tokens -= 1;
--- a/packages/policy/fleet_bucket.h
+++ b/packages/policy/fleet_bucket.h
@@ -50,6 +50,10 @@
 void refill(fleet_bucket& bucket, const bucket_contract& contract, const bucket_sharers& sharers,
             instant now);
 
+// Returns whether a token could be taken now.
+[[nodiscard]] bool has_token(fleet_bucket& bucket, const bucket_contract& contract,
+                             const bucket_sharers& sharers, instant now);
+
 // Takes a token, if there is one.
 [[nodiscard]] bool take_token(fleet_bucket& bucket, const bucket_contract& contract,
                               const bucket_sharers& sharers, instant now);
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -181,6 +181,11 @@
         if (!selection.target) {
             co_return state.attempts == 0 ? refuse(core, plan, selection) : give_up(core, state);
         }
+        if (state.tried.empty()) {
+            if (auto refused = charge_workspace(core, plan)) {
+                co_return std::move(*refused);
+            }
+        }
         const target_ptr target = selection.target;
         address_to(core, outgoing, *target, plan);
         if (plan.affinity) {
--- a/packages/proxy/request_plan.cpp
+++ b/packages/proxy/request_plan.cpp
@@ -21,6 +21,11 @@
 
 using plan_pass = tl::expected<void, local_answer>;
 
+local_answer over_rate(const workspace_use& use) {
+    const milliseconds wait = std::max(min_quota_retry_after, time_to_token(use.bucket, use.contract));
+    return {status_too_many_requests, "over_rate", wait};
+}
+
 std::string_view view(boost::beast::string_view text) {
     return {text.data(), text.size()};
 }
@@ -68,16 +73,14 @@
     return {};
 }
 
-plan_pass charge_workspace(node_core& core, const request_plan& plan) {
+plan_pass check_rate(node_core& core, const request_plan& plan) {
     if (plan.workspace == nullptr) {
         return {};
     }
     workspace_use& use = use_of(core, *plan.workspace);
-    if (!take_token(use.bucket, use.contract, sharers_of(core), now_of(core))) {
-        const milliseconds wait = std::max(min_quota_retry_after, time_to_token(use.bucket, use.contract));
-        return tl::unexpected(local_answer{status_too_many_requests, "over_rate", wait});
+    if (!has_token(use.bucket, use.contract, sharers_of(core), now_of(core))) {
+        return tl::unexpected(over_rate(use));
     }
-    ++use.admitted;
     return {};
 }
 
@@ -124,7 +127,7 @@
     }
     const plan_pass decided = authenticate(plan, request)
                                   .and_then([&] { return check_quarantine(core, plan, request); })
-                                  .and_then([&] { return charge_workspace(core, plan); });
+                                  .and_then([&] { return check_rate(core, plan); });
     if (!decided) {
         return tl::unexpected(decided.error());
     }
@@ -133,4 +136,16 @@
     return plan;
 }
 
+std::optional<local_answer> charge_workspace(node_core& core, const request_plan& plan) {
+    if (plan.workspace == nullptr) {
+        return std::nullopt;
+    }
+    workspace_use& use = use_of(core, *plan.workspace);
+    if (!take_token(use.bucket, use.contract, sharers_of(core), now_of(core))) {
+        return over_rate(use);
+    }
+    ++use.admitted;
+    return std::nullopt;
+}
+
 } // namespace cassiaspan
--- a/packages/proxy/request_plan.h
+++ b/packages/proxy/request_plan.h
@@ -55,6 +55,10 @@
 [[nodiscard]] tl::expected<request_plan, local_answer> plan_request(node_core& core,
                                                                     const caller_request& request);
 
+// Charges the workspace for the request, which is about to be sent: a request that is refused for want of a
+// target costs its workspace nothing. Returns the answer when the workspace is over its rate.
+[[nodiscard]] std::optional<local_answer> charge_workspace(node_core& core, const request_plan& plan);
+
 // Reads the id and the deadline out of the head.
 void read_caller_headers(const node_core& core, caller_request& request);
 
