--- a/packages/proxy/news_exchange.cpp
+++ b/packages/proxy/news_exchange.cpp
@@ -75,14 +75,19 @@
     const instant now = now_of(core);
     std::vector<const peer_vm*> peers;
     std::vector<news_source> sources;
-    for (const auto& [name, peer] : core.peers.by_name) {
+    for (const auto& entry : core.peers.by_name) {
+        const peer_vm& peer = entry.second;
         if (is_heard(peer, now)) {
             peers.push_back(&peer);
             sources.push_back({peer.store_revision, peer.region == core.settings.region});
         }
     }
-    const auto chosen = choose_news_source(sources, core.mirror.revision, core.random());
-    return chosen ? peers[*chosen] : nullptr;
+    const std::optional<std::size_t> chosen =
+        choose_news_source(sources, core.mirror.revision, core.random());
+    if (!chosen.has_value()) {
+        return nullptr;
+    }
+    return peers[chosen.value()];
 }
 
 asio::awaitable<bool> pull_from(node_core& core, socket_address address) {
