Pass on crash reports through hubs; forget suspects of targets that are gone

Cause, found while reading the change: in a large fleet VMs report to their hubs alone, and hubs passed on loads and counts but no crashes, so that a request that crashes targets was quarantined by the VMs that saw it and the hubs only. A hub now tells a crash that is new to it as its own; a known one is not told again. test_node: crashes are passed on by hubs (failed before). Suspects of targets that are gone were never removed.

--- a/packages/policy/quarantine.cpp
+++ b/packages/policy/quarantine.cpp
@@ -2,13 +2,13 @@
 
 namespace cassiaspan {
 
-void note_death(quarantine& state, std::uint64_t fingerprint, std::uint64_t death, instant now) {
+bool note_death(quarantine& state, std::uint64_t fingerprint, std::uint64_t death, instant now) {
     suspicion& entry = state.suspicions[fingerprint];
     if (entry.until <= now) {
         entry.deaths.clear();
     }
-    entry.deaths.insert(death);
     entry.until = now + quarantine_time;
+    return entry.deaths.insert(death).second;
 }
 
 void clear_suspicion(quarantine& state, std::uint64_t fingerprint) {
--- a/packages/policy/quarantine.h
+++ b/packages/policy/quarantine.h
@@ -25,8 +25,9 @@
     std::map<std::uint64_t, suspicion> suspicions;
 };
 
-// Notes that the request was in flight at the death named `death`; a death counts once.
-void note_death(quarantine& state, std::uint64_t fingerprint, std::uint64_t death, instant now);
+// Notes that the request was in flight at the death named `death`; a death counts once. Returns whether it is
+// new.
+bool note_death(quarantine& state, std::uint64_t fingerprint, std::uint64_t death, instant now);
 
 // Notes that the request was served since: it is not to blame.
 void clear_suspicion(quarantine& state, std::uint64_t fingerprint);
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -16,8 +16,6 @@
 constexpr milliseconds max_retry_after{2000};
 // A failure is taken as a crash of the target when the target is unreachable within this time.
 constexpr milliseconds crash_confirmation_time{2000};
-// How long a crash is told to other VMs.
-constexpr milliseconds crash_report_time{3000};
 
 http::request_header<> make_head(const node_core& core, const caller_request& request,
                                  const request_plan& plan) {
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -67,6 +67,9 @@
 // Returns the times that are expected of a service's runs, learned or assumed. `cold` is not below `warm`.
 [[nodiscard]] run_times expected_times(const service_learning& learned);
 
+// How long a crash is told to other VMs: several reports, as some are lost.
+constexpr milliseconds crash_report_time{3000};
+
 // How far the VM is in its life.
 enum class node_phase {
     // No configuration yet.
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -121,6 +121,9 @@
             this->core.targets.expire(now);
             expire_peers(this->core.peers, now);
             expire_suspicions(this->core.crashes, now);
+            std::erase_if(this->core.crash_suspects, [this](const auto& entry) {
+                return this->core.targets.all().count(entry.first) == 0;
+            });
             std::erase_if(this->core.crash_reports, [now](const auto& entry) { return entry.second <= now; });
             for (const auto& [id, target] : this->core.targets.all()) {
                 close_idle_connections(*target, now);
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -1,5 +1,7 @@
 #include "vm_report.h"
 
+#include "fleet_hubs.h"
+
 #include <algorithm>
 
 namespace cassiaspan {
@@ -59,7 +61,12 @@
 
 void take_crashes(node_core& core, const schema::Gossip& gossip) {
     for (const schema::CrashReport& report : gossip.crashes()) {
-        note_death(core.crashes, report.request(), report.death(), now_of(core));
+        const instant now = now_of(core);
+        const bool is_new = note_death(core.crashes, report.request(), report.death(), now);
+        if (is_new && hub_rank(core) && has_hubs(core)) {
+            // The others hear of it from their hubs alone.
+            core.crash_reports[{report.request(), report.death()}] = now + crash_report_time;
+        }
     }
 }
 
