Pace cold targets by turns that are lost when not used

Trace (replay with the logs of all VMs): the target was away from 11.5 s to 20.3 s; then 25 VMs sent at once, each its first. The next permitted time of each VM lay in the past by then, so the spacing was gone. Ruled out: VMs that did not know that it was cold.

Test: eighty VMs after an outage (cold_pacing), which the former spacing fails by design.

--- a/packages/policy/cold_pacing.h
+++ b/packages/policy/cold_pacing.h
@@ -1,27 +1,35 @@
 // Spaces the requests that go to a cold target. A cold target bears few requests per second, counted over all
-// VMs; each VM takes an equal part of them.
+// VMs. Each VM has its own turn in every interval; a turn that was not used soon is lost, so that VMs which
+// have all been waiting for the target do not send to it together.
 #pragma once
 
 #include "clock.h"
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 
 namespace cassiaspan {
 
-// When this VM may send the next request to one cold target.
+// The turn that this VM used last at one cold target.
 struct cold_pacing {
-    instant next;
-    bool started = false;
+    std::int64_t used_turn = -1;
     auto operator<=>(const cold_pacing&) const = default;
 };
 
-// Returns whether this VM may send a request to the cold target now. `phase` in [0, 1) spreads the first
-// requests of the VMs over their common interval.
-[[nodiscard]] bool may_send_cold(cold_pacing& pacing, double requests_per_second, std::size_t vm_count,
-                                 double phase, instant now);
+// How often a VM's turn comes, and where in the interval.
+struct cold_terms {
+    double requests_per_second = 0;
+    std::size_t vm_count = 1;
+    // In [0, 1): spreads the turns of the VMs over their common interval.
+    double phase = 0;
+    auto operator<=>(const cold_terms&) const = default;
+};
+
+// Returns whether this VM may send a request to the cold target now.
+[[nodiscard]] bool may_send_cold(const cold_pacing& pacing, const cold_terms& terms, instant now);
 
 // Notes that a request was sent.
-void note_sent_cold(cold_pacing& pacing, double requests_per_second, std::size_t vm_count, instant now);
+void note_sent_cold(cold_pacing& pacing, const cold_terms& terms, instant now);
 
 } // namespace cassiaspan
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -32,21 +32,22 @@
     return now < target.cold_until || target.may_be_restarted;
 }
 
-double cold_rate(const request_plan& plan) {
+// How requests to the target are spaced while it is cold.
+cold_terms cold_terms_of(const node_core& core, const request_plan& plan, const known_target& target) {
+    constexpr double hash_range = 4294967296.0;
     const service_rule* rule = plan.config->find_service(plan.service);
-    return rule == nullptr ? 0 : rule->cold_requests_per_second;
+    const double phase =
+        static_cast<double>(low_half(stable_hash(core.settings.vm, target.identity))) / hash_range;
+    return {rule == nullptr ? 0 : rule->cold_requests_per_second, sharers_of(core).total, phase};
 }
 
-// Returns whether the pace of a cold target allows a request now.
-bool cold_allows(node_core& core, const request_plan& plan, known_target& target, instant now) {
-    const double rate = cold_rate(plan);
-    if (!is_cold(target, now) || rate <= 0) {
+// Returns whether the target is warm, or its pace allows a request now.
+bool cold_allows(const node_core& core, const request_plan& plan, const known_target& target, instant now) {
+    if (!is_cold(target, now)) {
         return true;
     }
-    constexpr double hash_range = 4294967296.0;
-    const double phase =
-        static_cast<double>(low_half(stable_hash(core.settings.vm, target.identity))) / hash_range;
-    return may_send_cold(target.cold, rate, sharers_of(core).total, phase, now);
+    const cold_terms terms = cold_terms_of(core, plan, target);
+    return terms.requests_per_second <= 0 || may_send_cold(target.cold, terms, now);
 }
 
 placement_candidate describe(const node_core& core, const known_target& target,
@@ -130,7 +131,7 @@
         note_use(core.uses, chosen->identity, *plan.affinity, now);
     }
     if (is_cold(*chosen, now)) {
-        note_sent_cold(chosen->cold, cold_rate(plan), sharers_of(core).total, now);
+        note_sent_cold(chosen->cold, cold_terms_of(core, plan, *chosen), now);
     }
     return {chosen, placed.expected_finish, false, placed.reason};
 }
--- a/test/correctness/budgets_test.cpp
+++ b/test/correctness/budgets_test.cpp
@@ -156,20 +156,22 @@
     std::size_t vms;
     double rate;
     double max_in_one_second;
+    // Time for which nothing is sent after the first second, as the target cannot be reached.
+    milliseconds outage{};
 };
 
-// All VMs discover the cold target at the same moment and have work for it all the time.
+// All VMs discover the cold target at the same moment and have work for it all the time but during an outage.
 void check_cold(const cold_row& row) {
     std::vector<cold_pacing> pacings(row.vms);
     std::deque<instant> sent;
     std::size_t worst = 0;
     std::size_t total = 0;
     for (int step = 0; step < 3000; ++step) {
-        const instant now = start + step * milliseconds(1);
+        const instant now = start + step * milliseconds(1) + (step < 1000 ? milliseconds(0) : row.outage);
         for (std::size_t vm = 0; vm < row.vms; ++vm) {
-            const double phase = static_cast<double>(vm) / static_cast<double>(row.vms);
-            if (may_send_cold(pacings[vm], row.rate, row.vms, phase, now)) {
-                note_sent_cold(pacings[vm], row.rate, row.vms, now);
+            const cold_terms terms{row.rate, row.vms, static_cast<double>(vm) / static_cast<double>(row.vms)};
+            if (may_send_cold(pacings[vm], terms, now)) {
+                note_sent_cold(pacings[vm], terms, now);
                 sent.push_back(now);
                 ++total;
             }
@@ -184,9 +186,13 @@
 }
 
 // The bound is the rate while cold x 1.5 + 5.
-const test_table<cold_row>
-    colds("cold_pacing", {{"one VM", 1, 8, 17}, {"eight VMs", 8, 7.5, 16.25}, {"eighty VMs", 80, 14, 26}},
-          check_cold);
+const test_table<cold_row> colds("cold_pacing",
+                                 {{"one VM", 1, 8, 17},
+                                  {"eight VMs", 8, 7.5, 16.25},
+                                  {"eighty VMs", 80, 14, 26},
+                                  {"eighty VMs after an outage", 80, 5.9, 13.85, milliseconds(9000)},
+                                  {"eight VMs after an outage", 8, 7.5, 16.25, milliseconds(9000)}},
+                                 check_cold);
 
 struct shift_row {
     std::string name;
