Read the store as it is now at start: stale reads left changes out

Trace (replay with logs): edge-zurich-a-7 pulled changes up to revision 2689 from edge-zurich-b-9, yet not the removal at 2595. edge-zurich-b-9 had restarted at 30.85 s with a read that may be stale; its revision was newer than its items, and the watch that followed began too late. Ruled out: pulls that failed, dropped removals (kept 4,096).

--- a/packages/proxy/metadata_store.h
+++ b/packages/proxy/metadata_store.h
@@ -54,9 +54,10 @@
     metadata_store(metadata_store&&) = delete;
     metadata_store& operator=(metadata_store&&) = delete;
 
-    // Reads all items under the prefix. The revision is that of the oldest page: later changes are in a watch
-    // that begins there. With `may_be_stale`, the items may be seconds old, and the call is cheap.
-    virtual store_result<store_read> read_all(std::string prefix, bool may_be_stale) = 0;
+    // Reads all items under the prefix as they are now: a read that may be stale does not tell from which
+    // revision on changes are missing. The revision is that of the first page: later changes are in a watch
+    // that begins there.
+    virtual store_result<store_read> read_all(std::string prefix) = 0;
     // Waits for changes after `revision`, at most for `wait`.
     virtual store_result<store_read> watch(std::string prefix, std::uint64_t revision, milliseconds wait) = 0;
     // Writes an item that is removed with its lease.
--- a/packages/proxy/store_watcher.cpp
+++ b/packages/proxy/store_watcher.cpp
@@ -56,10 +56,8 @@
     co_await sleep_for(core.context, milliseconds(static_cast<std::int64_t>(time)));
 }
 
-// The first read may be stale: the watch that follows it tells what has changed since. After lost history it
-// must not be, as the watch would be told so again.
-asio::awaitable<bool> read_everything(node_core& core, metadata_store& store, bool may_be_stale) {
-    const auto read = co_await store.read_all(watched_prefix, may_be_stale);
+asio::awaitable<bool> read_everything(node_core& core, metadata_store& store) {
+    const auto read = co_await store.read_all(watched_prefix);
     note_answer(core, read.has_value(), "read", read ? "answered" : to_string(read.error()));
     if (!read) {
         co_return false;
@@ -108,14 +106,12 @@
 
 asio::awaitable<void> watch_store(node_core& core, metadata_store& store) {
     milliseconds wait = first_retry;
-    bool may_be_stale = true;
     for (;;) {
-        const bool complete = co_await read_everything(core, store, may_be_stale);
+        const bool complete = co_await read_everything(core, store);
         if (!complete) {
             co_await back_off(core, wait);
             continue;
         }
-        may_be_stale = false;
         wait = first_retry;
         co_await watch_changes(core, store);
     }
