--- a/packages/proxy/region_balance.cpp
+++ b/packages/proxy/region_balance.cpp
@@ -33,6 +33,10 @@
     return regions;
 }
 
+bool is_demand_known(const service_learning& learned, instant now) {
+    return learned.first_asked.has_value() && now - learned.first_asked.value() >= demand_learning_time;
+}
+
 } // namespace
 
 void update_region_shares(node_core& core, milliseconds interval) {
@@ -49,8 +53,7 @@
     }
     for (auto& [service, learned] : core.services) {
         const std::map<std::string, region_supply> regions = survey_regions(core, service, learned, now);
-        const bool is_known = learned.first_asked && now - *learned.first_asked >= demand_learning_time;
-        if (is_known) {
+        if (is_demand_known(learned, now)) {
             learned.shares = approach(learned.shares, balance_regions(regions, own), own, step);
         } else {
             learned.shares = presume_shares(regions, own);
