--- a/packages/proxy/gossip.cpp
+++ b/packages/proxy/gossip.cpp
@@ -216,8 +216,7 @@
     }
 }
 
-// Tells the other zones' hubs what the own zone reports. Loads of targets stay within the region, as the
-// bytes matter more elsewhere than they do.
+// Loads of targets stay within the region: elsewhere they matter less than the bytes that telling them takes.
 void gossip_socket::forward_zone(const schema::Gossip& own, bool to_far_regions) {
     schema::Gossip far_own = own;
     far_own.clear_target_uses();
@@ -245,7 +244,6 @@
     }
 }
 
-// Tells the VMs of the own zone what all VMs report.
 void gossip_socket::forward_to_zone(const schema::Gossip& own) {
     report_bundle bundle(own);
     const bool whole = tells_addresses(own);
--- a/packages/proxy/gossip.h
+++ b/packages/proxy/gossip.h
@@ -28,7 +28,10 @@
     void send_to_all(std::uint64_t round);
     void send_by_hubs(std::uint64_t round);
     void send_to_seeds(const std::string& datagram);
+    // As a hub, passes the own zone's reports on to the hubs of the region's other zones, and of other
+    // regions.
     void forward_zone(const schema::Gossip& own, bool to_far_regions);
+    // As a hub, passes all VMs' reports on to the VMs of the own zone.
     void forward_to_zone(const schema::Gossip& own);
     void send_to(const socket_address& address, const std::string& datagram);
 
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -336,14 +336,12 @@
     if (result.end == attempt_end::unreachable) {
         target.may_be_restarted = true;
     }
-    if (result.end == attempt_end::answered) {
-        if (target.may_be_restarted) {
-            // The target is back after it was unreachable: it starts cold, also before its entry says so.
-            target.may_be_restarted = false;
-            const service_rule* rule = core.config ? core.config->find_service(target.info.service) : nullptr;
-            if (rule != nullptr) {
-                target.cold_until = std::max(target.cold_until, now + rule->cold_time);
-            }
+    if (result.end == attempt_end::answered && target.may_be_restarted) {
+        // The target is back after it was unreachable: it starts cold, also before its entry says so.
+        target.may_be_restarted = false;
+        const service_rule* rule = core.config ? core.config->find_service(target.info.service) : nullptr;
+        if (rule != nullptr) {
+            target.cold_until = std::max(target.cold_until, now + rule->cold_time);
         }
     }
 }
--- a/packages/proxy/target_attempt.h
+++ b/packages/proxy/target_attempt.h
@@ -49,8 +49,6 @@
     std::string body;
     // The answer has been handed to the sink.
     bool streamed = false;
-    // The connection to the target was an old one that ended before anything came back.
-    bool stale_connection = false;
     milliseconds latency{};
     // The part of it that the target took: without opening a connection and without the way there and back.
     milliseconds target_time{};
