Answer every accepted request, and bound what faulty peers send

Change: a request is in progress from its first byte to the end of its response; the listener's queue is served before it is closed. Bodies that are not passed on are discarded, at most 1 MiB; after an unsealed response the connection is closed at once. A refusal counts by its header. A failed read of the caller's body closes the target's connection.

Not found here: a late copy of a response, a restarted VM that uses what was withdrawn, stray bytes on any listener, an endless answer of the store; their tests passed on the code before and stay.

--- a/packages/proxy/accept_loop.cpp
+++ b/packages/proxy/accept_loop.cpp
@@ -15,6 +15,15 @@
         auto socket = std::make_shared<tcp::socket>(core.context);
         error_code error;
         co_await acceptor.async_accept(*socket, capture_error(error));
+        // A connection may have been accepted just before the acceptor was closed; it is served all the same.
+        if (!error) {
+            asio::co_spawn(core.context, handler(std::move(socket)),
+                           [&core](const std::exception_ptr& exception) {
+                               if (exception) {
+                                   log_exception(core, "connection", exception);
+                               }
+                           });
+        }
         if (!acceptor.is_open() || error == asio::error::operation_aborted) {
             co_return;
         }
@@ -22,14 +31,7 @@
             core.log.write(now_of(core), node_event::internal_error,
                            log_fields().add("what", "accept").add("why", error.message()));
             co_await sleep_for(core.context, accept_error_backoff);
-            continue;
         }
-        asio::co_spawn(core.context, handler(std::move(socket)),
-                       [&core](const std::exception_ptr& exception) {
-                           if (exception) {
-                               log_exception(core, "connection", exception);
-                           }
-                       });
     }
 }
 
--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -96,8 +96,11 @@
         error_code error;
         if (!complete) {
             // The missing last chunk, or the missing bytes of its Content-Length, show that the response is
-            // truncated.
+            // truncated. A response without both would look complete, so the connection is reset.
             this->state.keep_alive = false;
+            if (!this->message.chunked() && !this->message.has_content_length()) {
+                this->state.socket->set_option(asio::socket_base::linger(true, 0), error);
+            }
             this->state.socket->close(error);
             co_return;
         }
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -22,6 +22,20 @@
 // Lowest HTTP status that is logged as a failure of the VM or a target; 503 is logged as a refusal.
 constexpr unsigned first_server_error_status = 500;
 
+// Increments a counter for its lifetime, also if an exception ends it.
+class scoped_count {
+public:
+    explicit scoped_count(std::size_t& counter_in) : counter(counter_in) { ++this->counter; }
+    ~scoped_count() { --this->counter; }
+    scoped_count(const scoped_count&) = delete;
+    scoped_count& operator=(const scoped_count&) = delete;
+    scoped_count(scoped_count&&) = delete;
+    scoped_count& operator=(scoped_count&&) = delete;
+
+private:
+    std::size_t& counter;
+};
+
 using request_parser = http::request_parser<http::buffer_body>;
 
 // Waits for the first bytes of a request. Returns false if the connection ended or was idle for too long.
@@ -116,11 +130,30 @@
     core.log.write(now, event, fields);
 }
 
-// Returns the source of the part of the body that is not buffered. `state` and `parser` must outlive it.
-body_source make_remaining_body_source(caller_connection_state& state, request_parser& parser) {
-    return [&state, &parser](std::string& chunk) -> asio::awaitable<bool> {
+// Detects from now on that the caller disconnects, and then cancels the request. The caller's socket must not
+// be read meanwhile.
+void start_disconnect_watch(caller_connection_state& state, const cancellation_ptr& cancellation) {
+    asio::co_spawn(state.core.context, watch_for_caller_disconnect(state.socket, cancellation),
+                   [&core = state.core](const std::exception_ptr& exception) {
+                       if (exception) {
+                           log_exception(core, "disconnect watch", exception);
+                       }
+                   });
+}
+
+// Returns the source of the part of the body that is not buffered. `state` and `parser` must outlive it. The
+// disconnect watch starts at the end of the body, because a disconnect before it shows as a failed read.
+body_source make_remaining_body_source(caller_connection_state& state, request_parser& parser,
+                                       cancellation_ptr cancellation) {
+    return [&state, &parser,
+            cancellation = std::move(cancellation)](std::string& chunk) -> asio::awaitable<bool> {
         chunk.clear();
         const error_code error = co_await read_body(state, parser, chunk, 1);
+        if (error) {
+            cancellation->caller_left = true;
+        } else if (chunk.empty()) {
+            start_disconnect_watch(state, cancellation);
+        }
         co_return !error;
     };
 }
@@ -133,15 +166,13 @@
     const scoped_deadline timeout(core.deadlines, plan.deadline,
                                   [cancellation = cancellation.get()] { cancel_on_timeout(*cancellation); });
     if (!request.has_unbuffered_body) {
-        asio::co_spawn(core.context, watch_for_caller_disconnect(state.socket, cancellation), asio::detached);
+        start_disconnect_watch(state, cancellation);
     }
     body_source remaining_body =
-        request.has_unbuffered_body ? make_remaining_body_source(state, parser) : body_source();
-    ++core.requests_in_progress;
+        request.has_unbuffered_body ? make_remaining_body_source(state, parser, cancellation) : body_source();
     const response_sink sink = make_response_sink(state, request.head.version());
     forward_result result =
         co_await forward_request(core, request, plan, std::move(remaining_body), cancellation, sink);
-    --core.requests_in_progress;
     cancellation->finished = true;
     error_code ignored;
     state.socket->cancel(ignored);
@@ -263,12 +294,13 @@
 } // namespace
 
 asio::awaitable<void> serve_caller_connection(node_core& core, std::shared_ptr<tcp::socket> socket) {
-    ++core.open_caller_connections;
+    const scoped_count open_connection(core.open_caller_connections);
     caller_connection_state state(core, std::move(socket));
     bool ok = true;
     while (ok && state.keep_alive) {
         ok = co_await wait_for_request(state);
         if (ok) {
+            const scoped_count in_progress(core.requests_in_progress);
             ok = co_await serve_request(state);
         }
         state.buffer.shrink_to_fit();
@@ -278,7 +310,6 @@
     }
     error_code ignored;
     state.socket->close(ignored);
-    --core.open_caller_connections;
 }
 
 asio::awaitable<void> accept_callers(node_core& core, tcp::acceptor& acceptor) {
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -140,6 +140,7 @@
     // Recent delay of the event loop: a request waits for about this time before it is read.
     milliseconds loop_delay{};
 
+    // Requests from their first byte until their response is written.
     std::size_t requests_in_progress = 0;
     std::size_t open_caller_connections = 0;
 
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -160,6 +160,21 @@
         co_await this->stop();
     }
 
+    // Serves the connections that the kernel has accepted and that wait for the listener, then closes it:
+    // closing alone would reset them.
+    void close_caller_listener() {
+        error_code error;
+        this->caller_acceptor.non_blocking(true, error);
+        while (!error) {
+            auto socket = std::make_shared<tcp::socket>(this->core.context);
+            this->caller_acceptor.accept(*socket, error);
+            if (!error) {
+                this->spawn(serve_caller_connection(this->core, std::move(socket)));
+            }
+        }
+        this->caller_acceptor.close(error);
+    }
+
     // Performs a planned stop: the VM removes itself from lookups, handles requests that arrive meanwhile,
     // then refuses new ones, waits for those in progress, and stops the event loop.
     asio::awaitable<void> stop() {
@@ -172,8 +187,9 @@
         co_await sleep_for(this->core.context,
                            std::min<milliseconds>(max_announcement_time, grace / announcement_grace_divisor));
         this->core.phase = node_phase::draining;
-        error_code ignored;
-        this->caller_acceptor.close(ignored);
+        this->close_caller_listener();
+        // The new connections' requests are in progress once they have been read.
+        co_await sleep_for(this->core.context, stop_poll_interval);
         while (this->core.requests_in_progress > 0 &&
                now_of(this->core) - stop_started < grace - forced_stop_margin) {
             co_await sleep_for(this->core.context, stop_poll_interval);
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds max_cold_time{60'000};
 // Responses to other requests that are skipped on one connection before the attempt fails.
 constexpr int max_skipped_responses = 4;
+// Limit of the body of a response that is skipped. A faulty target may send bytes without end.
+constexpr std::size_t max_skipped_body_bytes = std::size_t{1024} * 1024;
 
 using response_parser = http::response_parser<http::buffer_body>;
 
@@ -40,6 +42,8 @@
     bool done = false;
     bool failed = false;
     bool wrote_any_bytes = false;
+    // The caller's part of the body could not be read: the request will never be complete.
+    bool caller_failed = false;
 };
 
 // Writes the chunk in the message body. Returns false if the connection failed.
@@ -61,6 +65,7 @@
     bool ok = co_await write_chunk(socket, writer);
     while (ok && body.more) {
         ok = co_await request.remaining_body(chunk);
+        writer.caller_failed = !ok;
         body.data = chunk.data();
         body.size = chunk.size();
         body.more = !chunk.empty();
@@ -72,12 +77,17 @@
     writer.done = true;
 }
 
-// Writes the request while the response is being read. Cancels `writer_done` at the end, on which the attempt
-// waits.
+// Writes the request while the response is being read. Closes the connection if the caller's part of the body
+// cannot be read, so that the target does not wait for the rest. Cancels `writer_done` at the end, on which
+// the attempt waits.
 asio::awaitable<void> write_in_background(tcp::socket& socket, std::shared_ptr<request_writer> writer,
                                           const outgoing_request& request,
                                           std::shared_ptr<asio::steady_timer> writer_done) {
     co_await write_request(socket, *writer, request);
+    if (writer->caller_failed) {
+        error_code ignored;
+        socket.close(ignored);
+    }
     writer_done->cancel();
 }
 
@@ -209,8 +219,8 @@
             }
             // A late or duplicate response to another request. The response to this one may still follow.
             skipped_any = true;
-            const bool complete = co_await this->skip_body(parser);
-            if (!complete) {
+            const bool skipped = co_await this->skip_body(parser);
+            if (!skipped) {
                 break;
             }
         }
@@ -218,37 +228,55 @@
         result.detail = "response has the id of another request";
     }
 
+    // Reads and discards the body. Returns false if it is truncated or longer than max_skipped_body_bytes.
     asio::awaitable<bool> skip_body(response_parser& parser) {
-        attempt_result ignored;
-        co_return co_await this->read_body(parser, ignored, false);
+        std::array<char, read_chunk_bytes>
+            chunk; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by reads
+        std::size_t skipped_bytes = 0;
+        while (!parser.is_done() && skipped_bytes <= max_skipped_body_bytes) {
+            auto& body = parser.get().body();
+            body.data = chunk.data();
+            body.size = chunk.size();
+            error_code error;
+            co_await http::async_read(this->connection.socket, this->connection.buffer, parser,
+                                      capture_error(error));
+            skipped_bytes += chunk.size() - body.size;
+            if (error && error != http::error::need_buffer) {
+                co_return false;
+            }
+        }
+        co_return parser.is_done();
     }
 
     asio::awaitable<void> read_matching_response(response_parser& parser, attempt_result& result) {
         result.head = parser.get().base();
         result.outcome = classify_response(this->core.platform.headers(), result.head);
         record_target_headers(this->core, this->target, result.head);
+        if (result.outcome == attempt_end::failed) {
+            // The connection is not used again, so the body need not be read.
+            result.detail = "response has a content encoding or no seal of the target";
+            co_return;
+        }
         bool complete = true;
         if (response_has_no_body(parser, this->request.head.method())) {
             parser.skip(true);
+        } else if (result.outcome == attempt_end::answered) {
+            complete = co_await this->read_body(parser, result);
+            if (!complete) {
+                result.outcome = attempt_end::failed;
+                result.detail = "response truncated";
+            }
         } else {
-            complete = co_await this->read_body(parser, result, result.outcome == attempt_end::answered);
-        }
-        if (!complete) {
-            result.outcome = attempt_end::failed;
-            result.detail = "response truncated";
-            co_return;
-        }
-        if (result.outcome == attempt_end::failed) {
-            result.detail = "response has a content encoding or no seal of the target";
+            // The header states that the request was not executed, whatever happens to the body.
+            complete = co_await this->skip_body(parser);
         }
         this->connection.keep_alive_timeout = parse_keep_alive_timeout(result.head[http::field::keep_alive]);
-        this->reusable = parser.get().keep_alive() && this->connection.buffer.size() == 0 &&
-                         result.outcome != attempt_end::failed;
+        this->reusable = complete && parser.get().keep_alive() && this->connection.buffer.size() == 0;
     }
 
-    // Reads the body into the result. If `may_stream` is set, a body larger than max_buffered_response_bytes
-    // is passed to the sink instead. Returns false if the body is truncated or the sink fails.
-    asio::awaitable<bool> read_body(response_parser& parser, attempt_result& result, bool may_stream) {
+    // Reads the body into the result. A body larger than max_buffered_response_bytes is passed to the sink
+    // instead. Returns false if the body is truncated or the sink fails.
+    asio::awaitable<bool> read_body(response_parser& parser, attempt_result& result) {
         std::array<char, read_chunk_bytes>
             chunk; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by reads
         bool streaming = false;
@@ -275,7 +303,7 @@
                 continue;
             }
             result.body.append(chunk.data(), bytes);
-            if (may_stream && result.body.size() > max_buffered_response_bytes && !parser.is_done()) {
+            if (result.body.size() > max_buffered_response_bytes && !parser.is_done()) {
                 streaming = true;
                 result.streamed = true;
                 const bool started = co_await this->start_streaming(parser, result);
--- a/packages/proxy/target_attempt.h
+++ b/packages/proxy/target_attempt.h
@@ -13,7 +13,8 @@
 namespace cassiaspan {
 
 // Reads the next chunk of the part of a caller's body that was not buffered, and stores it in `chunk`. An
-// empty chunk is the end of the body. Returns false if the caller's connection failed.
+// empty chunk is the end of the body. Returns false if the caller's connection failed; the request is then
+// cancelled as one whose caller left.
 using body_source = std::function<asio::awaitable<bool>(std::string& chunk)>;
 
 // Receives a response that is too large to be buffered, in chunks. `begin` and `write` return false if
@@ -36,8 +37,6 @@
     std::string_view body;
     // Source of the part of the body that follows `body`; empty if `body` is the whole body.
     body_source remaining_body;
-    // Length of the whole body in bytes. Currently unused: the length is in the Content-Length of `head`.
-    std::optional<std::uint64_t> length;
     // Request id; the target echoes it in its response.
     std::string id;
     // Idempotent requests may use pooled connections that have been idle for longer.
