Give each key two homes in large fleets, and sum loads between regions

A VM of a large fleet sees few requests of a key, so it does not know where the key is warm; each VM spilled by its own view, and a spill takes three times the slot time. In hub mode the requests of other regions were not counted at all.

Ruled out: wrong load views alone.

Change: with shared_homes (fleets that use hubs) the first two targets of a key's order are both assumed warm, and nothing is spilled to others above 0.4 of all slots. First hubs send the in-flight counts of their zone as sums to the first hubs of other regions, and those pass the sum of all other regions on within their zone. What a choice changes (region share, affinity, cold pacing) is recorded only once the workspace's token is taken; the Retry-After keeps its lower bound; a Host header with an IPv6 address and no port keeps it.

--- a/packages/policy/address.cpp
+++ b/packages/policy/address.cpp
@@ -32,4 +32,12 @@
     return socket_address{host, port};
 }
 
+std::string_view host_without_port(std::string_view host_header) {
+    const std::size_t bracket = host_header.rfind(']');
+    const std::size_t colon = host_header.rfind(':');
+    const bool has_port =
+        colon != std::string_view::npos && (bracket == std::string_view::npos || colon > bracket);
+    return has_port ? host_header.substr(0, colon) : host_header;
+}
+
 } // namespace cassiaspan
--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace cassiaspan {
 
@@ -12,6 +13,8 @@
 // Fraction of a target's slots that must be free for the target to take spilled requests: a cold run occupies
 // as much slot time as several warm runs.
 constexpr double spill_headroom = 0.3;
+// Utilization of all candidates' slots up to which requests are spilled to cold targets with shared_homes.
+constexpr double max_spill_utilization = 0.4;
 
 // Returns the sort key of the key's target order: targets that are not degraded first, then by region rank,
 // then by rendezvous hash.
@@ -44,13 +47,59 @@
     return estimate;
 }
 
+// Returns the requests at all candidates over the slots of all candidates; may exceed 1.
+double compute_utilization(const std::vector<placement_candidate>& candidates) {
+    double load = 0;
+    double slots = 0;
+    for (const placement_candidate& candidate : candidates) {
+        load += candidate.load;
+        slots += candidate.slots;
+    }
+    return load / std::max(1.0, slots);
+}
+
+// The targets that a key's requests use first. Every VM computes the same ones, whatever it knows of the
+// targets' loads and caches.
+struct key_homes {
+    std::size_t primary = 0;
+    // With shared_homes, the second target of the key's order, unless it is in a farther region or more
+    // degraded than the primary.
+    std::optional<std::size_t> secondary;
+};
+
+// Returns the homes of the request's key. `candidates` must not be empty.
+key_homes find_homes(const std::vector<placement_candidate>& candidates, const placement_request& request) {
+    const auto is_preferred = [&](std::size_t left, std::size_t right) {
+        return preference_key(candidates[left], request) < preference_key(candidates[right], request);
+    };
+    key_homes homes;
+    for (std::size_t i = 1; i < candidates.size(); ++i) {
+        if (is_preferred(i, homes.primary)) {
+            homes.secondary = std::exchange(homes.primary, i);
+        } else if (!homes.secondary || is_preferred(i, *homes.secondary)) {
+            homes.secondary = i;
+        }
+    }
+    const placement_candidate& primary = candidates[homes.primary];
+    if (homes.secondary &&
+        (!request.shared_homes || candidates[*homes.secondary].region_rank != primary.region_rank ||
+         candidates[*homes.secondary].degraded != primary.degraded)) {
+        homes.secondary.reset();
+    }
+    return homes;
+}
+
 // Returns the target that takes the key's requests when its warm targets are full: the first target in the
 // key's order, other than the primary, with enough free slots. All VMs thereby spill a key to the same
-// target, which soon becomes warm for it.
+// target, which soon becomes warm for it. With shared_homes, returns none if the service is short of slots:
+// the slot time that a cold run takes beyond a warm one would be missing for several warm runs.
 std::optional<std::size_t> choose_spill(const std::vector<placement_candidate>& candidates,
                                         const placement_request& request,
                                         const placement_candidate& primary) {
     std::optional<std::size_t> chosen;
+    if (request.shared_homes && compute_utilization(candidates) > max_spill_utilization) {
+        return chosen;
+    }
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const bool has_room = candidates[i].load < candidates[i].slots * (1 - spill_headroom);
         if (has_room && candidates[i].identity != primary.identity &&
@@ -68,6 +117,8 @@
     switch (reason) {
     case placement_reason::primary:
         return "primary";
+    case placement_reason::secondary:
+        return "secondary";
     case placement_reason::known_warm:
         return "known_warm";
     case placement_reason::spill:
@@ -81,23 +132,22 @@
     if (candidates.empty()) {
         return {};
     }
-    const auto is_preferred = [&](const placement_candidate& left, const placement_candidate& right) {
-        return preference_key(left, request) < preference_key(right, request);
-    };
-    const auto primary = std::min_element(candidates.begin(), candidates.end(), is_preferred);
+    const key_homes homes = find_homes(candidates, request);
+    const placement_candidate& primary = candidates[homes.primary];
     const bool any_recently_used =
         std::any_of(candidates.begin(), candidates.end(),
                     [](const placement_candidate& each) { return each.recently_used; });
     const bool is_primary_assumed_warm = request.assume_primary_warm ||
-                                         (request.assume_joined_primary_warm && primary->recently_joined) ||
+                                         (request.assume_joined_primary_warm && primary.recently_joined) ||
                                          !any_recently_used;
-    const std::optional<std::size_t> spill = choose_spill(candidates, request, *primary);
+    const std::optional<std::size_t> spill = choose_spill(candidates, request, primary);
     std::optional<std::size_t> best;
     placement_estimate best_estimate;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const bool is_primary = primary - candidates.begin() == static_cast<std::ptrdiff_t>(i);
-        const bool is_warm =
-            !request.key || candidates[i].recently_used || (is_primary && is_primary_assumed_warm);
+        const bool is_primary = homes.primary == i;
+        const bool is_assumed_warm =
+            is_primary ? is_primary_assumed_warm : homes.secondary == i && !any_recently_used;
+        const bool is_warm = !request.key || candidates[i].recently_used || is_assumed_warm;
         const placement_estimate estimate = estimate_placement(candidates[i], request, is_warm);
         if (!is_warm && !is_primary && spill != i) {
             continue;
@@ -114,9 +164,9 @@
     // The loop always compares the primary target, so `best` is set.
     const auto latency = milliseconds(static_cast<std::int64_t>(best_estimate.latency));
     const bool is_acceptable = best_estimate.has_free_slot || latency <= request.max_latency;
-    const bool is_primary = best == static_cast<std::size_t>(primary - candidates.begin());
     const placement_reason reason = candidates[*best].recently_used ? placement_reason::known_warm
-                                    : is_primary                    ? placement_reason::primary
+                                    : best == homes.primary         ? placement_reason::primary
+                                    : best == homes.secondary       ? placement_reason::secondary
                                                                     : placement_reason::spill;
     return {is_acceptable ? best : std::nullopt, latency, reason};
 }
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -9,6 +9,12 @@
 // further cold runs under load. A request is therefore sent to a cold target only if waiting for a warm one
 // takes longer than the cold run and the cold target has spare capacity. This keeps each key on few targets,
 // even while a region is short of capacity.
+//
+// A VM of a large fleet sees too few requests of a key to know where it is warm, and the spills of many VMs
+// can keep a service in a state in which all targets are busy with cold runs, though warm runs would leave
+// most slots free. With `shared_homes`, the second target of the order is therefore assumed to be warm as
+// well, which is true because all VMs assume it, and nothing is spilled elsewhere while the service is short
+// of slots.
 #pragma once
 
 #include "clock.h"
@@ -58,6 +64,9 @@
     bool assume_joined_primary_warm = false;
     // Longest expected latency, from now, for which the request is queued at a target without a free slot.
     milliseconds max_latency{};
+    // Assumes the key's first two targets warm, and does not spill while the service is short of slots. For
+    // VMs that see too few requests of each key to know which targets are warm.
+    bool shared_homes = false;
     auto operator<=>(const placement_request&) const = default;
 };
 
@@ -65,6 +74,8 @@
 enum class placement_reason {
     // It is the first in the key's order, or has the lowest cost for a request without a key.
     primary,
+    // It is the second in the key's order, with `shared_homes`.
+    secondary,
     // It has recently served the key.
     known_warm,
     // The warm targets are full, so a cold target takes the request.
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -1,5 +1,6 @@
 #include "forwarding.h"
 
+#include "retry_after.h"
 #include "stable_hash.h"
 #include "target_selection.h"
 
@@ -10,10 +11,6 @@
 
 namespace {
 
-// Bounds of the Retry-After. It is the time in which the expected queue will have shrunk, with jitter so that
-// refused callers do not all retry at the same time. The lower bound applies before the jitter.
-constexpr milliseconds min_retry_after{150};
-constexpr milliseconds max_retry_after{2000};
 // A failed attempt counts as a crash of the target if the target is unreachable within this time afterwards.
 constexpr milliseconds crash_confirmation_time{2000};
 
@@ -92,13 +89,10 @@
     attempt_end last_outcome = attempt_end::unreachable;
 };
 
-// Returns `expected`, raised to min_retry_after, with a jitter of 50 % either way, but at most
-// max_retry_after.
+// Returns a Retry-After with a jitter of 50 % either way.
 milliseconds jittered_retry_after(node_core& core, milliseconds expected) {
     std::uniform_real_distribution<double> jitter(0.5, 1.5);
-    const double time =
-        static_cast<double>(std::max(expected, min_retry_after).count()) * jitter(core.random);
-    return std::min(max_retry_after, milliseconds(static_cast<std::int64_t>(time)));
+    return choose_retry_after(expected, jitter(core.random));
 }
 
 // Returns the reply to a request that reached no target. Its Retry-After is the time by which the expected
@@ -203,6 +197,7 @@
             }
         }
         const target_ptr target = selection.target;
+        record_selection(core, plan, *target);
         set_target_headers(core, outgoing, *target, plan);
         if (plan.affinity_hash) {
             outgoing.target_is_warm = selection.reason == placement_reason::known_warm;
--- a/packages/proxy/gossip.cpp
+++ b/packages/proxy/gossip.cpp
@@ -4,7 +4,7 @@
 #include "vm_report.h"
 
 #include <algorithm>
-#include <set>
+#include <vector>
 
 namespace cassiaspan {
 
@@ -68,21 +68,33 @@
     });
 }
 
-// Returns the names of the hubs of all other availability zones.
-std::set<std::string> hubs_of_other_zones(const node_core& core) {
-    std::set<std::string> hubs;
+// A hub of another availability zone.
+struct other_hub {
+    const peer_vm* peer;
+    bool is_first;
+};
+
+// Returns the hubs of all other availability zones.
+std::vector<other_hub> hubs_of_other_zones(const node_core& core) {
+    std::vector<other_hub> hubs;
     for (const auto& [zone, region] : core.settings.region_by_zone) {
-        if (zone != core.settings.availability_zone) {
-            for (const std::string& hub : hubs_of(core, zone)) {
-                hubs.insert(hub);
+        if (zone == core.settings.availability_zone) {
+            continue;
+        }
+        bool is_first = true;
+        for (const std::string& name : hubs_of(core, zone)) {
+            const auto found = core.peers.by_name.find(name);
+            if (found != core.peers.by_name.end()) {
+                hubs.push_back({&found->second, is_first});
             }
+            is_first = false;
         }
     }
     return hubs;
 }
 
 // Packs forwarded reports into datagrams of at most `max_forwarded_reports` each. Every datagram starts with
-// the sender's own report.
+// the sender's own report; only the first one includes its sums, because receivers ignore repeated reports.
 class report_batch {
 public:
     explicit report_batch(const schema::Gossip& own) : pending(own) {}
@@ -106,6 +118,8 @@
     void flush() {
         this->datagrams.push_back(this->pending.SerializeAsString());
         this->pending.clear_forwarded();
+        this->pending.clear_zone_target_uses();
+        this->pending.clear_remote_target_uses();
     }
 
     schema::Gossip pending;
@@ -208,28 +222,34 @@
     const bool forwards = rank && round_number % forward_interval == 0;
     // The first hub sends to the region's other zones in every reporting round; their hubs forward the
     // reports.
-    if (forwards || rank == std::size_t{0}) {
-        this->forward_to_other_zones(own, forwards);
+    const bool is_first_hub = rank == std::size_t{0};
+    if (forwards || is_first_hub) {
+        this->forward_to_other_zones(own, forwards, is_first_hub);
     }
     if (forwards) {
-        this->forward_within_zone(own);
+        this->forward_within_zone(own, is_first_hub);
         return;
     }
     const std::string datagram = own.SerializeAsString();
     for (const std::string& hub : hubs) {
-        if (hub != this->core.settings.vm) {
-            this->send_to(this->core.peers.by_name.at(hub).gossip_address, datagram);
+        const auto found = this->core.peers.by_name.find(hub);
+        if (found != this->core.peers.by_name.end()) {
+            this->send_to(found->second.gossip_address, datagram);
         }
     }
 }
 
-// Target loads are not sent to other regions, where they are worth less than the bandwidth that they would
-// use.
-void gossip_socket::forward_to_other_zones(const schema::Gossip& own, bool to_other_regions) {
+// Other regions receive the in-flight counts of the zone as sums by target; one report a VM would use much
+// more bandwidth.
+void gossip_socket::forward_to_other_zones(const schema::Gossip& own, bool to_other_regions, bool with_sums) {
     schema::Gossip report_for_other_regions = own;
     report_for_other_regions.clear_target_uses();
     report_batch same_region_batch(own);
     report_batch cross_region_batch(report_for_other_regions);
+    if (with_sums && to_other_regions) {
+        add_zone_target_uses(this->core, report_for_other_regions);
+    }
+    report_batch first_hub_batch(report_for_other_regions);
     const bool send_all_counts = has_addresses(own);
     for (auto& [name, peer] : this->core.peers.by_name) {
         if (is_alive(peer, now_of(this->core)) &&
@@ -237,26 +257,33 @@
             same_region_batch.add(
                 make_forwarded_report(peer, peer.forwarded_to_zones, true, send_all_counts));
             if (to_other_regions) {
-                cross_region_batch.add(
-                    make_forwarded_report(peer, peer.forwarded_to_regions, false, send_all_counts));
+                const schema::Gossip forwarded =
+                    make_forwarded_report(peer, peer.forwarded_to_regions, false, send_all_counts);
+                cross_region_batch.add(forwarded);
+                first_hub_batch.add(forwarded);
             }
         }
     }
-    for (const std::string& hub : hubs_of_other_zones(this->core)) {
-        const peer_vm& peer = this->core.peers.by_name.at(hub);
-        const bool is_same_region = peer.region == this->core.settings.region;
+    for (const other_hub& hub : hubs_of_other_zones(this->core)) {
+        const bool is_same_region = hub.peer->region == this->core.settings.region;
         if (!is_same_region && !to_other_regions) {
             continue;
         }
-        for (const std::string& datagram :
-             (is_same_region ? same_region_batch : cross_region_batch).finish()) {
-            this->send_to(peer.gossip_address, datagram);
+        report_batch& batch = is_same_region ? same_region_batch
+                              : hub.is_first ? first_hub_batch
+                                             : cross_region_batch;
+        for (const std::string& datagram : batch.finish()) {
+            this->send_to(hub.peer->gossip_address, datagram);
         }
     }
 }
 
-void gossip_socket::forward_within_zone(const schema::Gossip& own) {
-    report_batch batch(own);
+void gossip_socket::forward_within_zone(const schema::Gossip& own, bool with_sums) {
+    schema::Gossip report = own;
+    if (with_sums) {
+        add_remote_target_uses(this->core, report);
+    }
+    report_batch batch(report);
     const bool send_all_counts = has_addresses(own);
     for (auto& [name, peer] : this->core.peers.by_name) {
         if (is_alive(peer, now_of(this->core))) {
--- a/packages/proxy/gossip.h
+++ b/packages/proxy/gossip.h
@@ -34,10 +34,12 @@
     // Sends a datagram to the seed addresses of the settings.
     void send_to_seeds(const std::string& datagram);
     // As a hub, forwards the reports of the own zone to the hubs of the region's other zones and, if
-    // `to_other_regions`, to those of other regions.
-    void forward_to_other_zones(const schema::Gossip& own, bool to_other_regions);
-    // As a hub, forwards the reports of all VMs to the VMs of the own zone.
-    void forward_within_zone(const schema::Gossip& own);
+    // `to_other_regions`, to those of other regions. With `with_sums`, the first hubs of other regions
+    // receive the in-flight counts of the zone.
+    void forward_to_other_zones(const schema::Gossip& own, bool to_other_regions, bool with_sums);
+    // As a hub, forwards the reports of all VMs to the VMs of the own zone; with `with_sums`, also the
+    // in-flight counts of other regions.
+    void forward_within_zone(const schema::Gossip& own, bool with_sums);
     // Sends one datagram; send errors are ignored.
     void send_to(const socket_address& address, const std::string& datagram);
 
--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -28,6 +28,9 @@
     std::unordered_map<std::uint32_t, std::uint64_t> service_demands;
 };
 
+// Requests in flight by target. Keys are the lower 32 bits of the hash of the target's id.
+using target_use_counts = std::unordered_map<std::uint32_t, std::uint32_t>;
+
 // Another VM.
 struct peer_vm {
     std::string name;
@@ -55,9 +58,13 @@
     std::uint64_t store_revision = 0;
     // Values of the last report: requests in flight by target, admitted requests by workspace, and requests
     // read by service. Keys are the lower 32 bits of the name hash.
-    std::unordered_map<std::uint32_t, std::uint32_t> target_uses;
+    target_use_counts target_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> workspace_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> service_demands;
+    // Sums of the last report, if the peer is a first hub: requests in flight of its zone, if that is in
+    // another region, and of all other regions, if the peer is in this VM's zone.
+    target_use_counts zone_target_uses;
+    target_use_counts remote_target_uses;
     // Counters that this VM, as a hub, last forwarded to other zones of the region, to other regions, and
     // within its zone.
     forwarded_counts forwarded_to_zones;
--- a/packages/proxy/request_plan.cpp
+++ b/packages/proxy/request_plan.cpp
@@ -1,5 +1,6 @@
 #include "request_plan.h"
 
+#include "address.h"
 #include "stable_hash.h"
 
 #include <algorithm>
@@ -35,8 +36,7 @@
 
 // Finds the route for the host, without its port, and the path of the request. Returns null if there is none.
 const route_rule* find_route(const steering_config& config, const caller_request& request) {
-    std::string_view host = to_string_view(request.head[http::field::host]);
-    host = host.substr(0, host.rfind(':'));
+    const std::string_view host = host_without_port(to_string_view(request.head[http::field::host]));
     return config.find_route(host, to_string_view(request.head.target()));
 }
 
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -1,5 +1,6 @@
 #include "target_selection.h"
 
+#include "fleet_hubs.h"
 #include "stable_hash.h"
 
 #include <algorithm>
@@ -138,19 +139,23 @@
     const bool explore_joined = core.random() % explore_interval_for_new_target == 0;
     const placement choice =
         place_request(candidates, {plan.affinity_hash, expected.warm, expected.cold, explore, explore_joined,
-                                   std::max(time_left, milliseconds(0))});
+                                   std::max(time_left, milliseconds(0)), uses_hubs(core)});
     if (!choice.index) {
         return {nullptr, choice.expected_latency, !any_eligible};
     }
     const target_ptr& chosen = targets[*choice.index];
-    record_region_request(core.shift_limiter, core.settings.shift_limits, chosen->info.region, now);
+    return {chosen, choice.expected_latency, false, choice.reason};
+}
+
+void record_selection(node_core& core, const request_plan& plan, target_record& target) {
+    const instant now = now_of(core);
+    record_region_request(core.shift_limiter, core.settings.shift_limits, target.info.region, now);
     if (plan.affinity_hash) {
-        record_use(core.affinity_history, chosen->id_hash, *plan.affinity_hash, now);
+        record_use(core.affinity_history, target.id_hash, *plan.affinity_hash, now);
     }
-    if (is_cold(*chosen, now)) {
-        record_sent_to_cold_target(chosen->pacing, make_cold_pacing_params(core, plan, *chosen), now);
+    if (is_cold(target, now)) {
+        record_sent_to_cold_target(target.pacing, make_cold_pacing_params(core, plan, target), now);
     }
-    return {chosen, choice.expected_latency, false, choice.reason};
 }
 
 } // namespace cassiaspan
--- a/packages/proxy/target_selection.h
+++ b/packages/proxy/target_selection.h
@@ -32,9 +32,12 @@
 // draining, removed, in an evacuated zone, or backing off after failures.
 [[nodiscard]] bool accepts_new_requests(const node_core& core, const target_record& target, instant now);
 
-// Chooses a target that is not among `tried`. Records the choice in the region shift limiter, the affinity
-// history and the pacing of a cold target.
+// Chooses a target that is not among `tried`.
 [[nodiscard]] target_selection select_target(node_core& core, const request_plan& plan,
                                              const std::vector<target_ptr>& tried);
 
+// Records that the request will be sent to the target, in the region shift limiter, the affinity history and
+// the pacing of a cold target. Call this once nothing can refuse the request any more.
+void record_selection(node_core& core, const request_plan& plan, target_record& target);
+
 } // namespace cassiaspan
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -8,24 +8,57 @@
 
 namespace {
 
-// Replaces a peer's in-flight counts in the target table by those of the report.
-void apply_target_uses(node_core& core, peer_vm& peer, const schema::Gossip& gossip) {
+using reported_target_uses = google::protobuf::RepeatedPtrField<schema::TargetUse>;
+
+// Replaces in-flight counts of a peer in the target table by newly reported ones.
+void replace_target_uses(node_core& core, target_use_counts& known, const reported_target_uses& reported) {
     const auto add = [&core](std::uint32_t hash, std::int64_t count) {
         if (const target_ptr target = core.targets.find_by_hash(hash)) {
             const auto sum = static_cast<std::int64_t>(target->peers_in_flight) + count;
             target->peers_in_flight = static_cast<std::size_t>(std::max<std::int64_t>(0, sum));
         }
     };
-    for (const auto& [hash, count] : peer.target_uses) {
+    for (const auto& [hash, count] : known) {
         add(hash, -static_cast<std::int64_t>(count));
     }
-    peer.target_uses.clear();
-    for (const schema::TargetUse& use : gossip.target_uses()) {
-        peer.target_uses[use.target()] = use.in_flight();
+    known.clear();
+    for (const schema::TargetUse& use : reported) {
+        known[use.target()] = use.in_flight();
         add(use.target(), use.in_flight());
     }
 }
 
+// Replaces all in-flight counts of a peer. Sums are taken only from where they are meant to come: a sum that
+// includes VMs whose own counts are known would count them twice.
+void apply_target_uses(node_core& core, peer_vm& peer, const schema::Gossip& gossip) {
+    const bool is_in_other_region = peer.region != core.settings.region;
+    const bool is_in_own_zone = peer.availability_zone == core.settings.availability_zone;
+    replace_target_uses(core, peer.target_uses, gossip.target_uses());
+    replace_target_uses(core, peer.zone_target_uses,
+                        is_in_other_region ? gossip.zone_target_uses() : reported_target_uses());
+    replace_target_uses(core, peer.remote_target_uses,
+                        is_in_own_zone ? gossip.remote_target_uses() : reported_target_uses());
+}
+
+void add_target_uses(reported_target_uses& uses, const target_use_counts& counts) {
+    for (const auto& [hash, in_flight] : counts) {
+        schema::TargetUse& use = *uses.Add();
+        use.set_target(hash);
+        use.set_in_flight(in_flight);
+    }
+}
+
+// Returns the requests that this VM has in flight.
+target_use_counts own_target_uses(const node_core& core) {
+    target_use_counts counts;
+    for (const auto& [id, target] : core.targets.all()) {
+        if (target->in_flight > 0) {
+            counts[low_32_bits(target->id_hash)] = static_cast<std::uint32_t>(target->in_flight);
+        }
+    }
+    return counts;
+}
+
 // Takes from the token buckets what a peer has admitted since its last report.
 void apply_workspace_uses(node_core& core, peer_vm& peer, const schema::Gossip& gossip) {
     std::unordered_map<std::uint32_t, std::uint64_t> newly_admitted;
@@ -102,13 +135,7 @@
     gossip.set_sequence(sequence);
     gossip.set_accepting(is_accepting(core));
     gossip.set_store_revision(core.mirror.revision);
-    for (const auto& [id, target] : core.targets.all()) {
-        if (target->in_flight > 0) {
-            schema::TargetUse& use = *gossip.add_target_uses();
-            use.set_target(low_32_bits(target->id_hash));
-            use.set_in_flight(static_cast<std::uint32_t>(target->in_flight));
-        }
-    }
+    add_target_uses(*gossip.mutable_target_uses(), own_target_uses(core));
     for (const auto& [name, budget] : core.workspaces) {
         schema::WorkspaceUse& entry = *gossip.add_workspace_uses();
         entry.set_workspace(budget.name_hash);
@@ -130,6 +157,29 @@
     return gossip;
 }
 
+void add_zone_target_uses(const node_core& core, schema::Gossip& report) {
+    const instant now = now_of(core);
+    target_use_counts sums = own_target_uses(core);
+    for (const auto& [name, peer] : core.peers.by_name) {
+        if (peer.availability_zone == core.settings.availability_zone && is_alive(peer, now)) {
+            for (const auto& [target, in_flight] : peer.target_uses) {
+                sums[target] += in_flight;
+            }
+        }
+    }
+    add_target_uses(*report.mutable_zone_target_uses(), sums);
+}
+
+void add_remote_target_uses(const node_core& core, schema::Gossip& report) {
+    target_use_counts sums;
+    for (const auto& [name, peer] : core.peers.by_name) {
+        for (const auto& [target, in_flight] : peer.zone_target_uses) {
+            sums[target] += in_flight;
+        }
+    }
+    add_target_uses(*report.mutable_remote_target_uses(), sums);
+}
+
 bool has_addresses(const schema::Gossip& report) {
     return !report.sender().gossip_address().empty();
 }
@@ -143,11 +193,7 @@
     forwarded.set_accepting(peer.accepting);
     forwarded.set_store_revision(peer.store_revision);
     if (with_target_uses) {
-        for (const auto& [target, in_flight] : peer.target_uses) {
-            schema::TargetUse& use = *forwarded.add_target_uses();
-            use.set_target(target);
-            use.set_in_flight(in_flight);
-        }
+        add_target_uses(*forwarded.mutable_target_uses(), peer.target_uses);
     }
     for (const auto& [workspace, admitted] : peer.workspace_uses) {
         std::uint64_t& forwarded_count = last_forwarded.workspace_uses[workspace];
@@ -230,7 +276,9 @@
 void clear_silent_peer_loads(node_core& core) {
     const instant now = now_of(core);
     for (auto& [name, peer] : core.peers.by_name) {
-        if (!peer.target_uses.empty() && !is_alive(peer, now)) {
+        const bool has_uses =
+            !peer.target_uses.empty() || !peer.zone_target_uses.empty() || !peer.remote_target_uses.empty();
+        if (has_uses && !is_alive(peer, now)) {
             apply_target_uses(core, peer, {});
             core.log.write(now, node_event::peer_changed,
                            log_fields().add("peer", name).add("state", "silent"));
--- a/packages/proxy/vm_report.h
+++ b/packages/proxy/vm_report.h
@@ -19,6 +19,12 @@
 // Returns whether the report includes the addresses of its sender.
 [[nodiscard]] bool has_addresses(const schema::Gossip& report);
 
+// Adds the requests that the VMs of this VM's zone have in flight, by target, for the hubs of other regions.
+// Only a zone's first hub may send them, or they would count twice.
+void add_zone_target_uses(const node_core& core, schema::Gossip& report);
+// Adds the requests that the VMs of all other regions have in flight, by target, for the VMs of this VM's
+// zone. Only a zone's first hub may send them.
+void add_remote_target_uses(const node_core& core, schema::Gossip& report);
 // Returns a peer's report in the form that a hub forwards. It has the counters that changed since
 // `last_forwarded`, or all of them if `send_all_counts`, and updates `last_forwarded` to match. Target loads
 // are included if `with_target_uses`.
@@ -33,7 +39,7 @@
 // from this VM itself, or lacks the addresses of an unknown sender.
 bool apply_report(node_core& core, const schema::Gossip& gossip);
 
-// Clears the in-flight counts of peers that are no longer alive, and logs this.
+// Clears all in-flight counts of peers that are no longer alive, and logs this.
 void clear_silent_peer_loads(node_core& core);
 
 } // namespace cassiaspan
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -1,7 +1,9 @@
 // Placement with affinity: single decisions, and the share of warm runs under load.
 
 #include "placement.h"
+#include "recent_uses.h"
 #include "table_test.h"
+#include "target_health.h"
 
 #include <algorithm>
 #include <deque>
@@ -30,12 +32,13 @@
     milliseconds max_latency;
     // Index of the expected choice; -1 if none.
     int expected;
+    bool shared_homes = false;
 };
 
 void check_choice(const choice_row& row) {
     // The rows are built for the primary target of key 7, which primary_of_key_7() determines.
-    const placement placed =
-        place_request(row.candidates, {7, warm, cold, row.assume_primary_warm, true, row.max_latency});
+    const placement placed = place_request(
+        row.candidates, {7, warm, cold, row.assume_primary_warm, true, row.max_latency, row.shared_homes});
     CPPUNIT_ASSERT_EQUAL(row.expected, placed.index ? static_cast<int>(*placed.index) : -1);
 }
 
@@ -125,6 +128,30 @@
          false,
          milliseconds(300),
          -1},
+        {"shared homes: uses the primary target while it has a free slot",
+         {make_candidate(primary, 3), make_candidate(other, 3)},
+         false,
+         generous,
+         0,
+         true},
+        {"shared homes: uses the secondary target when the primary one is full",
+         {make_candidate(primary, 9), make_candidate(other, 3), make_candidate(98, 0, false)},
+         false,
+         generous,
+         1,
+         true},
+        {"shared homes: has no secondary target in another region",
+         {make_candidate(primary, 6), make_candidate(other, 0, false)},
+         false,
+         generous,
+         0,
+         true},
+        {"shared homes: does not run cold while the service is short of slots",
+         {recently_used(make_candidate(primary, 12)), make_candidate(other, 0)},
+         false,
+         generous,
+         0,
+         true},
         {"uses a free slot even if the run finishes late",
          {make_candidate(primary, 3)},
          false,
@@ -250,5 +277,162 @@
                                   {"more objects than all targets cache", 3, 240, 60, 0.5, 0.5}},
                                  check_warm_share);
 
+// A request of the cold start simulation. Times are steps of 10 ms.
+struct simulated_run {
+    std::uint64_t key = 0;
+    std::size_t vm = 0;
+    bool known_warm = false;
+    double load_at_send = 0;
+    int arrived = 0;
+    int ends = 0;
+};
+
+// A target with slots, a queue and an LRU cache.
+struct queueing_target {
+    std::vector<simulated_run> running;
+    std::deque<simulated_run> queue;
+    lru_target cache;
+
+    [[nodiscard]] double load() const {
+        return static_cast<double>(this->running.size() + this->queue.size());
+    }
+};
+
+// What one VM knows of the targets: their reported loads plus the requests that it has sent since, and its
+// own measurements.
+struct simulated_vm {
+    explicit simulated_vm(std::size_t targets) : sent(targets), health(targets) {}
+    std::vector<double> sent;
+    std::vector<target_health> health;
+    recent_uses uses;
+    milliseconds warm_time = default_service_time;
+    milliseconds cold_time = 3 * default_service_time;
+};
+
+struct cold_start_row {
+    std::string name;
+    std::size_t vms;
+    std::size_t targets;
+    std::size_t keys;
+    std::size_t cache_capacity;
+    // Demand relative to the capacity of all slots if every run is warm.
+    double demand;
+    // Fraction of the requests of the last third that must meet their latency objective.
+    double min_in_objective;
+    bool shared_homes;
+};
+
+constexpr milliseconds step_time{10};
+
+// Updates the VM's statistics at the end of a run, as the request path does.
+void record_run(simulated_vm& vm, std::size_t target, const simulated_run& run, double slots, instant now) {
+    const milliseconds latency = (run.ends - run.arrived) * step_time;
+    const milliseconds own_time = estimate_service_time(latency, run.load_at_send, slots);
+    milliseconds& average = run.known_warm ? vm.warm_time : vm.cold_time;
+    average = moving_average(average, own_time);
+    const milliseconds usual_time = run.known_warm ? vm.warm_time : std::max(vm.warm_time, vm.cold_time);
+    record_outcome(vm.health[target], target_outcome::answered, {own_time, usual_time}, now);
+}
+
+// Load pattern: all targets are cold and a sixth of them slow for some seconds, and a burst follows; the
+// demand then exceeds what cold targets can serve, but is well below what warm ones can. Each of many VMs
+// sees few requests of any key, and the targets' loads with a delay. Afterwards the service must reach the
+// state in which most runs are warm, instead of staying busy with cold ones.
+void check_cold_start(const cold_start_row& row) {
+    constexpr std::size_t slots = 9;
+    constexpr std::size_t queue_limit = 27;
+    constexpr int warm_steps = 30;
+    constexpr int cold_steps = 104;
+    constexpr int slow_factor = 3;
+    constexpr int slow_until = 700;
+    constexpr int burst_begin = 370;
+    constexpr int burst_end = 710;
+    constexpr double burst_factor = 1.5;
+    constexpr int objective_steps = 80;
+    constexpr int steps = 3000;
+    constexpr int counted_from = steps * 2 / 3;
+    constexpr int counted_until = steps - objective_steps;
+    constexpr int report_interval = 40;
+    std::vector<queueing_target> targets(row.targets);
+    std::vector<double> reported_loads(row.targets);
+    std::vector<simulated_vm> vms(row.vms, simulated_vm(row.targets));
+    std::mt19937_64 random(29);
+    double pending_arrivals = 0;
+    int arrivals = 0;
+    int in_objective = 0;
+    for (int step = 0; step < steps; ++step) {
+        const instant now{seconds(1000) + step * step_time};
+        for (std::size_t i = 0; i < row.targets; ++i) {
+            queueing_target& target = targets[i];
+            std::erase_if(target.running, [&](const simulated_run& run) {
+                if (run.ends > step) {
+                    return false;
+                }
+                target.cache.handle(run.key, row.cache_capacity);
+                const bool is_counted = run.arrived > counted_from && run.arrived < counted_until;
+                in_objective += is_counted && run.ends - run.arrived <= objective_steps ? 1 : 0;
+                record_run(vms[run.vm], i, run, slots, now);
+                return true;
+            });
+            while (!target.queue.empty() && target.running.size() < slots) {
+                simulated_run run = target.queue.front();
+                target.queue.pop_front();
+                const auto& cached = target.cache.cached;
+                const bool hit = std::find(cached.begin(), cached.end(), run.key) != cached.end();
+                const bool is_slow = i % 6 == 0 && step < slow_until;
+                run.ends = step + (hit ? warm_steps : cold_steps) * (is_slow ? slow_factor : 1);
+                target.running.push_back(run);
+            }
+        }
+        if (step % report_interval == 0) {
+            for (std::size_t i = 0; i < row.targets; ++i) {
+                reported_loads[i] = targets[i].load();
+            }
+            for (simulated_vm& vm : vms) {
+                std::fill(vm.sent.begin(), vm.sent.end(), 0);
+            }
+        }
+        const bool is_burst = step >= burst_begin && step < burst_end;
+        pending_arrivals += row.demand * (is_burst ? burst_factor : 1) *
+                            static_cast<double>(slots * row.targets) / warm_steps;
+        for (; pending_arrivals >= 1; pending_arrivals -= 1) {
+            arrivals += step > counted_from && step < counted_until ? 1 : 0;
+            const std::uint64_t key = random() % row.keys;
+            const std::size_t vm_index = random() % row.vms;
+            simulated_vm& vm = vms[vm_index];
+            std::vector<placement_candidate> candidates;
+            for (std::size_t i = 0; i < row.targets; ++i) {
+                placement_candidate candidate = make_candidate(100 + i, reported_loads[i] + vm.sent[i]);
+                candidate.slots = slots;
+                candidate.recently_used = was_used(vm.uses, 100 + i, key, milliseconds(10'000), now);
+                const double ratio = vm.health[i].service_time_ratio;
+                candidate.service_time_ratio = ratio == 0 ? 1 : std::clamp(ratio, 0.5, 8.0);
+                candidate.degraded = is_degraded(vm.health[i]);
+                candidates.push_back(candidate);
+            }
+            const placement placed = place_request(
+                candidates, {key, vm.warm_time, std::max(vm.warm_time, vm.cold_time), random() % 16 == 0,
+                             false, objective_steps * step_time, row.shared_homes});
+            if (!placed.index || targets[*placed.index].queue.size() >= queue_limit) {
+                continue;
+            }
+            vm.sent[*placed.index] += 1;
+            record_use(vm.uses, 100 + *placed.index, key, now);
+            targets[*placed.index].queue.push_back({key, vm_index,
+                                                    placed.reason == placement_reason::known_warm,
+                                                    candidates[*placed.index].load, step, 0});
+        }
+    }
+    const double share = static_cast<double>(in_objective) / arrivals;
+    CPPUNIT_ASSERT_MESSAGE("share " + std::to_string(share), share >= row.min_in_objective);
+}
+
+const test_table<cold_start_row> cold_starts("placement after a cold start",
+                                             {{"8 VMs, 14 targets", 8, 14, 150, 40, 0.5, 0.9, false},
+                                              {"60 VMs, 34 targets", 60, 34, 150, 59, 0.65, 0.9, true},
+                                              {"60 VMs, 68 targets", 60, 68, 346, 31, 0.65, 0.9, true},
+                                              {"195 VMs, 90 targets", 195, 90, 600, 40, 0.65, 0.9, true}},
+                                             check_cold_start);
+
 } // namespace
 } // namespace cassiaspan::test
--- a/test/correctness/request_rules_test.cpp
+++ b/test/correctness/request_rules_test.cpp
@@ -1,7 +1,10 @@
-// Retry rules and final statuses, weighted traffic splits, target health, idle policy and recent uses.
+// Retry rules and final statuses, Retry-After, host names, weighted traffic splits, target health, idle
+// policy and recent uses.
 
+#include "address.h"
 #include "connection_pressure.h"
 #include "recent_uses.h"
+#include "retry_after.h"
 #include "retry_rules.h"
 #include "table_test.h"
 #include "target_health.h"
@@ -45,6 +48,44 @@
                      {"caller left", attempt_end::caller_left, true, false, false, 502}},
                     check_retry_rule);
 
+struct retry_after_row {
+    std::string name;
+    milliseconds expected;
+    double jitter;
+    milliseconds result;
+};
+
+void check_retry_after(const retry_after_row& row) {
+    CPPUNIT_ASSERT_EQUAL(row.result.count(), choose_retry_after(row.expected, row.jitter).count());
+}
+
+const test_table<retry_after_row>
+    retry_afters("retry after",
+                 {{"the expected time", milliseconds(800), 1, milliseconds(800)},
+                  {"with jitter", milliseconds(800), 0.5, milliseconds(400)},
+                  {"never below the lower bound", milliseconds(0), 0.5, milliseconds(150)},
+                  {"the lower bound has jitter upwards", milliseconds(0), 1.5, milliseconds(225)},
+                  {"never above the upper bound", milliseconds(9000), 1.5, milliseconds(2000)}},
+                 check_retry_after);
+
+struct host_row {
+    std::string name;
+    std::string header;
+    std::string host;
+};
+
+void check_host(const host_row& row) {
+    CPPUNIT_ASSERT_EQUAL(row.host, std::string(host_without_port(row.header)));
+}
+
+const test_table<host_row> hosts("host without port",
+                                 {{"a name", "app.example", "app.example"},
+                                  {"a name and a port", "app.example:8080", "app.example"},
+                                  {"an IPv6 address", "[2001:db8::1]", "[2001:db8::1]"},
+                                  {"an IPv6 address and a port", "[2001:db8::1]:8080", "[2001:db8::1]"},
+                                  {"nothing", "", ""}},
+                                 check_host);
+
 struct split_row {
     std::string name;
     std::vector<double> weights;
