--- /dev/null
+++ b/packages/proxy/node_settings.cpp
@@ -0,0 +1,16 @@
+#include "node_settings.h"
+
+namespace cassiaspan {
+
+bool apply_reloaded_settings(node_settings& settings, const node_settings& loaded) {
+    settings.seeds = loaded.seeds;
+    settings.retries = loaded.retries;
+    settings.shift_limits = loaded.shift_limits;
+    settings.stop_grace = loaded.stop_grace;
+    settings.max_lookup_ttl = loaded.max_lookup_ttl;
+    settings.link_mbps = loaded.link_mbps;
+    settings.max_open_files = loaded.max_open_files;
+    return settings != loaded;
+}
+
+} // namespace cassiaspan
--- a/packages/proxy/node_settings.h
+++ b/packages/proxy/node_settings.h
@@ -13,7 +13,7 @@
 
 namespace cassiaspan {
 
-// Settings that do not change while the process runs.
+// The settings. Most do not change while the process runs; see apply_reloaded_settings().
 struct node_settings {
     // Name of this VM, unique in the deployment.
     std::string vm;
@@ -53,4 +53,9 @@
     auto operator<=>(const node_settings&) const = default;
 };
 
+// Takes over the settings that can change while the process runs: seeds, retry budget, shift limits, stop
+// grace period, lookup TTL, link bandwidth and the limit of open files. Returns whether `loaded` has other
+// changes, which need a restart.
+bool apply_reloaded_settings(node_settings& settings, const node_settings& loaded);
+
 } // namespace cassiaspan
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -42,11 +42,12 @@
 // The listeners, connections and background tasks of a running VM.
 class running_node {
 public:
-    running_node(node_core& core_in, const store_factory& make_store)
-        : core(core_in), caller_acceptor(core_in.context), readiness_acceptor(core_in.context),
-          lookup_acceptor(core_in.context), peer_acceptor(core_in.context), metrics_acceptor(core_in.context),
-          gossip(core_in), watch_connection(make_store(core_in.context)),
-          record_connection(make_store(core_in.context)), signals(core_in.context, SIGTERM, SIGINT, SIGHUP) {}
+    running_node(node_core& core_in, const store_factory& make_store, const settings_loader& load_settings_in)
+        : core(core_in), load_settings(load_settings_in), caller_acceptor(core_in.context),
+          readiness_acceptor(core_in.context), lookup_acceptor(core_in.context),
+          peer_acceptor(core_in.context), metrics_acceptor(core_in.context), gossip(core_in),
+          watch_connection(make_store(core_in.context)), record_connection(make_store(core_in.context)),
+          signals(core_in.context, SIGTERM, SIGINT, SIGHUP) {}
 
     // Binds all listeners. Returns the address and the reason if one fails.
     tl::expected<void, std::string> open() {
@@ -147,7 +148,26 @@
         }
     }
 
-    // Starts the planned stop on SIGTERM or SIGINT. SIGHUP only writes a log line: settings are not reloaded.
+    // Reads the settings again. Invalid settings are logged and those in use are kept.
+    void reload_settings() {
+        const instant now = now_of(this->core);
+        const auto loaded = this->load_settings();
+        if (!loaded) {
+            for (const finding& problem : loaded.error()) {
+                this->core.log.write(now, node_event::settings_reloaded,
+                                     log_fields()
+                                         .add("outcome", "rejected")
+                                         .add("place", problem.path)
+                                         .add("why", problem.text));
+            }
+            return;
+        }
+        const bool needs_restart = apply_reloaded_settings(this->core.settings, *loaded);
+        this->core.log.write(now, node_event::settings_reloaded,
+                             log_fields().add("outcome", "applied").add("needs_restart", needs_restart));
+    }
+
+    // Starts the planned stop on SIGTERM or SIGINT, and reloads the settings on SIGHUP.
     asio::awaitable<void> handle_signals() {
         for (;;) {
             error_code error;
@@ -155,7 +175,7 @@
             if (signal != SIGHUP) {
                 break;
             }
-            this->core.log.write(now_of(this->core), node_event::settings_reloaded, log_fields());
+            this->reload_settings();
         }
         co_await this->stop();
     }
@@ -203,6 +223,7 @@
     }
 
     node_core& core;
+    const settings_loader& load_settings;
     tcp::acceptor caller_acceptor;
     tcp::acceptor readiness_acceptor;
     tcp::acceptor lookup_acceptor;
@@ -218,11 +239,11 @@
 
 tl::expected<void, std::string> run_node(const clock& clock_source, const node_settings& settings,
                                          const platform_adapter& platform, const store_factory& make_store,
-                                         node_log& log) {
+                                         const settings_loader& load_settings, node_log& log) {
     std::signal(SIGPIPE, SIG_IGN);
     node_core core(clock_source, settings, platform, log);
     core.started_ms = static_cast<std::uint64_t>(unix_milliseconds());
-    running_node node(core, make_store);
+    running_node node(core, make_store, load_settings);
     if (auto opened = node.open(); !opened) {
         return opened;
     }
