Restart background tasks that end with an exception

Cause: an unexpected exception ended a background task for good (gossip, the watch of the store), with one log line; in the writer of a large request, or one that is no std::exception, it ended the process.

--- a/packages/proxy/accept_loop.cpp
+++ b/packages/proxy/accept_loop.cpp
@@ -1,5 +1,7 @@
 #include "accept_loop.h"
 
+#include "background_task.h"
+
 namespace cassiaspan {
 
 namespace {
@@ -17,12 +19,7 @@
         co_await acceptor.async_accept(*socket, capture_error(error));
         // A connection may have been accepted just before the acceptor was closed; it is served all the same.
         if (!error) {
-            asio::co_spawn(core.context, handler(std::move(socket)),
-                           [&core](const std::exception_ptr& exception) {
-                               if (exception) {
-                                   log_exception(core, "connection", exception);
-                               }
-                           });
+            spawn_task(core, "connection", handler(std::move(socket)));
         }
         if (!acceptor.is_open() || error == asio::error::operation_aborted) {
             co_return;
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "caller_session.h"
 
 #include "accept_loop.h"
+#include "background_task.h"
 #include "caller_responses.h"
 #include "forwarding.h"
 #include "request_plan.h"
@@ -133,12 +134,7 @@
 // Detects from now on that the caller disconnects, and then cancels the request. The caller's socket must not
 // be read meanwhile.
 void start_disconnect_watch(caller_connection_state& state, const cancellation_ptr& cancellation) {
-    asio::co_spawn(state.core.context, watch_for_caller_disconnect(state.socket, cancellation),
-                   [&core = state.core](const std::exception_ptr& exception) {
-                       if (exception) {
-                           log_exception(core, "disconnect watch", exception);
-                       }
-                   });
+    spawn_task(state.core, "disconnect watch", watch_for_caller_disconnect(state.socket, cancellation));
 }
 
 // Returns the source of the part of the body that is not buffered. `state` and `parser` must outlive it. The
--- a/packages/proxy/node_core.cpp
+++ b/packages/proxy/node_core.cpp
@@ -178,6 +178,9 @@
     } catch (const std::exception& error) {
         core.log.write(now_of(core), node_event::internal_error,
                        log_fields().add("what", what).add("why", error.what()));
+    } catch (...) {
+        core.log.write(now_of(core), node_event::internal_error,
+                       log_fields().add("what", what).add("why", "unknown exception"));
     }
 }
 
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -1,5 +1,6 @@
 #include "steering_node.h"
 
+#include "background_task.h"
 #include "caller_session.h"
 #include "gossip.h"
 #include "region_balance.h"
@@ -74,39 +75,37 @@
 
     // Starts all background tasks.
     void start() {
-        this->spawn(accept_callers(this->core, this->caller_acceptor));
+        this->spawn("callers' listener",
+                    [this] { return accept_callers(this->core, this->caller_acceptor); });
         this->serve_simple(this->readiness_acceptor, answer_readiness_check);
         this->serve_simple(this->lookup_acceptor, answer_lookup);
         this->serve_simple(this->metrics_acceptor, answer_metrics);
-        this->spawn(serve_store_sync(this->core, this->peer_acceptor));
-        this->spawn(pull_store_changes(this->core));
-        this->spawn(this->gossip.send_loop());
-        this->spawn(this->gossip.receive_loop());
-        this->spawn(watch_store(this->core, *this->watch_connection));
-        this->spawn(maintain_vm_record(this->core, *this->record_connection));
-        this->spawn(this->check_deadlines());
-        this->spawn(this->run_housekeeping());
-        this->spawn(this->flush_log());
-        this->spawn(this->handle_signals());
+        this->spawn("peers' listener", [this] { return serve_store_sync(this->core, this->peer_acceptor); });
+        this->spawn("store sync", [this] { return pull_store_changes(this->core); });
+        this->spawn("gossip sender", [this] { return this->gossip.send_loop(); });
+        this->spawn("gossip receiver", [this] { return this->gossip.receive_loop(); });
+        this->spawn("store watch", [this] { return watch_store(this->core, *this->watch_connection); });
+        this->spawn("VM record", [this] { return maintain_vm_record(this->core, *this->record_connection); });
+        this->spawn("deadlines", [this] { return this->check_deadlines(); });
+        this->spawn("housekeeping", [this] { return this->run_housekeeping(); });
+        this->spawn("log", [this] { return this->flush_log(); });
+        this->spawn("signals", [this] { return this->handle_signals(); });
     }
 
 private:
-    // Runs a task on the event loop; logs the exception if the task ends with one.
-    void spawn(asio::awaitable<void> task) {
-        asio::co_spawn(this->core.context, std::move(task), [this](const std::exception_ptr& exception) {
-            if (exception) {
-                log_exception(this->core, "a background task ended", exception);
-            }
-        });
+    void spawn(std::string name, task_factory start) {
+        asio::co_spawn(this->core.context, run_background_task(this->core, std::move(name), std::move(start)),
+                       asio::detached);
     }
 
     // Serves the listener with `answer` if it is open.
     template <class Answer> void serve_simple(tcp::acceptor& acceptor, Answer answer) {
         if (acceptor.is_open()) {
-            this->spawn(
-                serve_simple_requests(this->core, acceptor, [this, answer](const simple_request& request) {
-                    return answer(this->core, request);
-                }));
+            this->spawn("listener", [this, &acceptor, answer] {
+                return serve_simple_requests(
+                    this->core, acceptor,
+                    [this, answer](const simple_request& request) { return answer(this->core, request); });
+            });
         }
     }
 
@@ -189,7 +188,7 @@
             auto socket = std::make_shared<tcp::socket>(this->core.context);
             this->caller_acceptor.accept(*socket, error);
             if (!error) {
-                this->spawn(serve_caller_connection(this->core, std::move(socket)));
+                spawn_task(this->core, "connection", serve_caller_connection(this->core, std::move(socket)));
             }
         }
         this->caller_acceptor.close(error);
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -168,7 +168,14 @@
         } else {
             asio::co_spawn(this->core.context,
                            write_in_background(this->connection.socket, writer, this->request, writer_done),
-                           asio::detached);
+                           [writer, writer_done, &core = this->core](const std::exception_ptr& exception) {
+                               if (exception) {
+                                   log_exception(core, "request writer", exception);
+                                   writer->failed = true;
+                                   writer->done = true;
+                                   writer_done->cancel();
+                               }
+                           });
         }
         attempt_result result;
         if (writer->done && writer->failed && !writer->wrote_any_bytes) {
