Refuse an upload whose chunked body grows too long with 413

Change: reading the caller's body distinguishes the limit from a disconnect; the attempt is cancelled and the caller gets 413. No target has received the whole request, so none has run it.

--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -58,8 +58,8 @@
     return load / std::max(1.0, slots);
 }
 
-// The targets that a key's requests use first. Every VM computes the same ones, whatever it knows of the
-// targets' loads and caches.
+// The targets that a key's requests use first. All VMs compute the same ones, unless they assess the health
+// of a target differently.
 struct key_homes {
     std::size_t primary = 0;
     // With shared_homes, the second target of the key's order, unless it is in a farther region or more
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -145,7 +145,9 @@
             cancellation = std::move(cancellation)](std::string& chunk) -> asio::awaitable<bool> {
         chunk.clear();
         const error_code error = co_await read_body(state, parser, chunk, 1);
-        if (error) {
+        if (error == http::error::body_limit) {
+            cancellation->body_too_large = true;
+        } else if (error) {
             cancellation->caller_left = true;
         } else if (chunk.empty()) {
             start_disconnect_watch(state, cancellation);
@@ -253,8 +255,7 @@
     if (body_error) {
         if (body_error == http::error::body_limit) {
             state.keep_alive = false;
-            const local_reply reply{413, "body_too_large", {}};
-            co_await write_local_reply(state, reply, request.head.version(), request.id);
+            co_await write_local_reply(state, body_too_large_reply, request.head.version(), request.id);
         }
         co_return false;
     }
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -223,6 +223,9 @@
         if (cancellation->caller_left) {
             co_return nothing_to_write{false};
         }
+        if (cancellation->body_too_large) {
+            co_return body_too_large_reply;
+        }
         if (is_cancelled(*cancellation)) {
             co_return make_failure_reply(core, progress);
         }
--- a/packages/proxy/request_cancellation.h
+++ b/packages/proxy/request_cancellation.h
@@ -15,6 +15,8 @@
     bool timed_out = false;
     // The caller disconnected.
     bool caller_left = false;
+    // The body turned out to be longer than allowed after a part of it was sent to a target.
+    bool body_too_large = false;
     // Forwarding has ended; later deadlines and disconnects are ignored.
     bool finished = false;
     // The socket to a target that the request is using; null if there is none. Cancelling closes it.
@@ -23,9 +25,9 @@
 
 using cancellation_ptr = std::shared_ptr<request_cancellation>;
 
-// Returns whether the request timed out or its caller disconnected.
+// Returns whether the request timed out, its caller disconnected, or its body is too large.
 [[nodiscard]] inline bool is_cancelled(const request_cancellation& cancellation) {
-    return cancellation.timed_out || cancellation.caller_left;
+    return cancellation.timed_out || cancellation.caller_left || cancellation.body_too_large;
 }
 
 // Closes the active socket, if any, so that pending operations on it fail.
--- a/packages/proxy/request_plan.h
+++ b/packages/proxy/request_plan.h
@@ -61,6 +61,10 @@
     auto operator<=>(const local_reply&) const = default;
 };
 
+// The reply to a request whose body is longer than the configuration allows. No target has run the request:
+// none received it completely.
+inline const local_reply body_too_large_reply{413, "body_too_large", {}};
+
 // Plans the request. Returns the reply to send if the request is refused: 503 "starting" without a
 // configuration, 503 "stopping" during shutdown, 404 "no_route", 401 "unknown_key", 503 "quarantined" or 429
 // "over_rate". Also counts the request in the demand and retry budget of its service.
