Keep sums that other hubs forward without, and end requests of lost peers

Cause, by reading the change: a zone's second hub forwards the first one's reports without sums, and a report without sums cleared them for up to 0.4 s. A record of a peer's new incarnation from the store dropped its in-flight counts without taking them from the target table, where they stayed for ever.

A new record keeps the counts until the next report replaces them or the peer counts as silent.

--- a/packages/proxy/peer_table.cpp
+++ b/packages/proxy/peer_table.cpp
@@ -1,5 +1,7 @@
 #include "peer_table.h"
 
+#include <utility>
+
 namespace cassiaspan {
 
 peer_vm* update_peer_record(peer_table& peers, const schema::VmRecord& record, instant now) {
@@ -15,9 +17,14 @@
         return nullptr;
     }
     if (is_new || peer.started_ms < record.started_ms()) {
-        const bool has_store_record = peer.has_store_record;
-        peer = {};
-        peer.has_store_record = has_store_record;
+        // The in-flight counts are kept, because the target table includes them: the next report replaces
+        // them, or they are cleared while the peer is silent.
+        peer_vm previous = std::exchange(peer, {});
+        peer.has_store_record = previous.has_store_record;
+        peer.target_uses = std::move(previous.target_uses);
+        peer.zone_target_uses = std::move(previous.zone_target_uses);
+        peer.remote_target_uses = std::move(previous.remote_target_uses);
+        peer.sums_received_at = previous.sums_received_at;
         peer.name = record.name();
         peer.started_ms = record.started_ms();
         peer.first_seen = now;
--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -61,10 +61,11 @@
     target_use_counts target_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> workspace_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> service_demands;
-    // Sums of the last report, if the peer is a first hub: requests in flight of its zone, if that is in
-    // another region, and of all other regions, if the peer is in this VM's zone.
+    // Sums that the peer sent as a first hub, and when the last ones arrived: requests in flight of its zone,
+    // if that is in another region, and of all other regions, if the peer is in this VM's zone.
     target_use_counts zone_target_uses;
     target_use_counts remote_target_uses;
+    std::optional<instant> sums_received_at;
     // Counters that this VM, as a hub, last forwarded to other zones of the region, to other regions, and
     // within its zone.
     forwarded_counts forwarded_to_zones;
@@ -78,7 +79,8 @@
 };
 
 // Adds or updates a peer from its record. The record of a newer incarnation resets everything known except
-// `has_store_record`. Returns null if the record is invalid or from an older incarnation.
+// `has_store_record` and the in-flight counts. Returns null if the record is invalid or from an older
+// incarnation.
 peer_vm* update_peer_record(peer_table& peers, const schema::VmRecord& record, instant now);
 
 // Returns whether a report of the peer arrived within `peer_silence_timeout`.
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -28,16 +28,35 @@
     }
 }
 
-// Replaces all in-flight counts of a peer. Sums are taken only from where they are meant to come: a sum that
-// includes VMs whose own counts are known would count them twice.
+// Clears the sums that a peer sent as a first hub.
+void clear_sums(node_core& core, peer_vm& peer) {
+    replace_target_uses(core, peer.zone_target_uses, {});
+    replace_target_uses(core, peer.remote_target_uses, {});
+    peer.sums_received_at.reset();
+}
+
+// Applies the in-flight counts of a peer's report. Sums are taken only from where they are meant to come: a
+// sum that includes VMs whose own counts are known would count them twice. A report without sums keeps the
+// previous ones, because other hubs forward a first hub's reports without them.
 void apply_target_uses(node_core& core, peer_vm& peer, const schema::Gossip& gossip) {
-    const bool is_in_other_region = peer.region != core.settings.region;
-    const bool is_in_own_zone = peer.availability_zone == core.settings.availability_zone;
     replace_target_uses(core, peer.target_uses, gossip.target_uses());
-    replace_target_uses(core, peer.zone_target_uses,
-                        is_in_other_region ? gossip.zone_target_uses() : reported_target_uses());
-    replace_target_uses(core, peer.remote_target_uses,
-                        is_in_own_zone ? gossip.remote_target_uses() : reported_target_uses());
+    if (gossip.zone_target_uses().empty() && gossip.remote_target_uses().empty()) {
+        return;
+    }
+    clear_sums(core, peer);
+    peer.sums_received_at = now_of(core);
+    if (peer.region != core.settings.region) {
+        replace_target_uses(core, peer.zone_target_uses, gossip.zone_target_uses());
+    }
+    if (peer.availability_zone == core.settings.availability_zone) {
+        replace_target_uses(core, peer.remote_target_uses, gossip.remote_target_uses());
+    }
+}
+
+// Clears all in-flight counts of a peer.
+void clear_target_uses(node_core& core, peer_vm& peer) {
+    replace_target_uses(core, peer.target_uses, {});
+    clear_sums(core, peer);
 }
 
 void add_target_uses(reported_target_uses& uses, const target_use_counts& counts) {
@@ -238,7 +257,7 @@
     if (known_peer != core.peers.by_name.end() &&
         known_peer->second.started_ms < gossip.sender().started_ms()) {
         // The requests in flight of the previous incarnation ended when it stopped.
-        apply_target_uses(core, known_peer->second, {});
+        clear_target_uses(core, known_peer->second);
     }
     peer_vm* peer = nullptr;
     if (has_addresses(gossip)) {
@@ -276,12 +295,14 @@
 void clear_silent_peer_loads(node_core& core) {
     const instant now = now_of(core);
     for (auto& [name, peer] : core.peers.by_name) {
-        const bool has_uses =
-            !peer.target_uses.empty() || !peer.zone_target_uses.empty() || !peer.remote_target_uses.empty();
+        const bool has_uses = !peer.target_uses.empty() || peer.sums_received_at;
         if (has_uses && !is_alive(peer, now)) {
-            apply_target_uses(core, peer, {});
+            clear_target_uses(core, peer);
             core.log.write(now, node_event::peer_changed,
                            log_fields().add("peer", name).add("state", "silent"));
+        } else if (peer.sums_received_at && now - *peer.sums_received_at > peer_silence_timeout) {
+            // The peer is not the first hub any more.
+            clear_sums(core, peer);
         }
     }
 }
--- a/packages/proxy/vm_report.h
+++ b/packages/proxy/vm_report.h
@@ -39,7 +39,8 @@
 // from this VM itself, or lacks the addresses of an unknown sender.
 bool apply_report(node_core& core, const schema::Gossip& gossip);
 
-// Clears all in-flight counts of peers that are no longer alive, and logs this.
+// Clears all in-flight counts of peers that are no longer alive, and logs this. Clears the sums of peers that
+// have sent none for `peer_silence_timeout`.
 void clear_silent_peer_loads(node_core& core);
 
 } // namespace cassiaspan
