Keep the time of a hub's last sums as a plain value

Change: whether there are sums is seen from the counts; the time needs no optional. No change of behaviour, except that sums of no requests keep no time.

--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -65,7 +65,7 @@
     // if that is in another region, and of all other regions, if the peer is in this VM's zone.
     target_use_counts zone_target_uses;
     target_use_counts remote_target_uses;
-    std::optional<instant> sums_received_at;
+    instant sums_received_at;
     // Counters that this VM, as a hub, last forwarded to other zones of the region, to other regions, and
     // within its zone.
     forwarded_counts forwarded_to_zones;
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -32,7 +32,6 @@
 void clear_sums(node_core& core, peer_vm& peer) {
     replace_target_uses(core, peer.zone_target_uses, {});
     replace_target_uses(core, peer.remote_target_uses, {});
-    peer.sums_received_at.reset();
 }
 
 // Applies the in-flight counts of a peer's report. Sums are taken only from where they are meant to come: a
@@ -295,12 +294,13 @@
 void clear_silent_peer_loads(node_core& core) {
     const instant now = now_of(core);
     for (auto& [name, peer] : core.peers.by_name) {
-        const bool has_uses = !peer.target_uses.empty() || peer.sums_received_at;
+        const bool has_sums = !peer.zone_target_uses.empty() || !peer.remote_target_uses.empty();
+        const bool has_uses = has_sums || !peer.target_uses.empty();
         if (has_uses && !is_alive(peer, now)) {
             clear_target_uses(core, peer);
             core.log.write(now, node_event::peer_changed,
                            log_fields().add("peer", name).add("state", "silent"));
-        } else if (peer.sums_received_at && now - *peer.sums_received_at > peer_silence_timeout) {
+        } else if (has_sums && now - peer.sums_received_at > peer_silence_timeout) {
             // The peer is not the first hub any more.
             clear_sums(core, peer);
         }
