Serve callers of VMs that are cut off from targets through peers

What callers saw: VMs that had lost all targets, while callers, the store and the other VMs still reached them, answered 503 until the end of the cut.

Cause: a VM only knew its own way to a target. Targets that it could not reach were taken to be down, although its peers reached them, and nothing between the VMs told the two apart.

A request is relayed once. Probes notice the end of the cut, and the direct share grows over a second. Targets that peers reached meanwhile are not paced as cold.

--- a/packages/policy/steering_config.cpp
+++ b/packages/policy/steering_config.cpp
@@ -102,6 +102,13 @@
     return found == this->workspace_by_key.end() ? nullptr : &this->stored_rules.workspaces[found->second];
 }
 
+const workspace_rule* steering_config::find_workspace_by_name(std::string_view name) const {
+    const auto& workspaces = this->stored_rules.workspaces;
+    const auto found = std::find_if(workspaces.begin(), workspaces.end(),
+                                    [name](const workspace_rule& each) { return each.name == name; });
+    return found == workspaces.end() ? nullptr : &*found;
+}
+
 const service_rule* steering_config::find_service(const std::string& name) const {
     const auto found = this->service_by_name.find(name);
     return found == this->service_by_name.end() ? nullptr : &this->stored_rules.services[found->second];
--- a/packages/policy/steering_config.h
+++ b/packages/policy/steering_config.h
@@ -119,6 +119,8 @@
     [[nodiscard]] const route_rule* find_route(std::string_view host, std::string_view path) const;
     // Returns the workspace with the API key, or nullptr.
     [[nodiscard]] const workspace_rule* find_workspace(std::string_view key) const;
+    // Returns the workspace of that name, or nullptr.
+    [[nodiscard]] const workspace_rule* find_workspace_by_name(std::string_view name) const;
     // Returns the service of that name, or nullptr.
     [[nodiscard]] const service_rule* find_service(const std::string& name) const;
 
--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -1,6 +1,7 @@
 #include "caller_responses.h"
 
 #include "connection_pressure.h"
+#include "relay.h"
 
 #include <fmt/format.h>
 
@@ -128,6 +129,12 @@
         const double time = static_cast<double>(reply.retry_after->count()) / milliseconds::period::den;
         response.set(http::field::retry_after, fmt::format("{:.3f}", time));
     }
+    if (state.is_from_vm) {
+        if (!may_have_run(reply)) {
+            response.set(state.core.platform.headers().not_executed, "1");
+        }
+        response.set(relay_headers::attempts, std::to_string(reply.attempts));
+    }
     response.body() = reply.reason + "\n";
     response.prepare_payload();
     state.keep_alive = state.keep_alive && !current_idle_policy(state.core).close_after_refusal;
--- a/packages/proxy/caller_responses.h
+++ b/packages/proxy/caller_responses.h
@@ -19,6 +19,8 @@
         : core(core_in), socket(std::move(socket_in)) {}
     node_core& core;
     std::shared_ptr<tcp::socket> socket;
+    // Whether the connection belongs to a peer that relays requests (relay.h).
+    bool is_from_vm = false;
     // Bytes that were read from the socket but not parsed yet.
     boost::beast::flat_buffer buffer;
     // Whether the connection stays open after the current response.
@@ -32,7 +34,8 @@
 [[nodiscard]] caller_limits current_caller_limits(const node_core& core);
 
 // Writes a reply of this VM, with the request id `id` unless that is empty. `version` is the HTTP version, 10
-// or 11. May close the connection when descriptors are scarce. Returns false if the connection failed.
+// or 11. To a peer, states besides whether the request has certainly not run, and to how many targets it was
+// sent. May close the connection when descriptors are scarce. Returns false if the connection failed.
 asio::awaitable<bool> write_local_reply(caller_connection_state& state, const local_reply& reply,
                                         unsigned version, const std::string& id);
 
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "background_task.h"
 #include "caller_responses.h"
 #include "forwarding.h"
+#include "relay.h"
 #include "request_plan.h"
 
 #include <array>
@@ -20,6 +21,8 @@
 // How long further bytes of the caller are read and discarded before the socket is closed. Closing a socket
 // with unread bytes sends a reset, which can make the caller lose the last response.
 constexpr milliseconds lingering_close_timeout{500};
+// Room for the headers that a peer adds to a request.
+constexpr std::size_t relay_header_bytes = 1024;
 // Lowest HTTP status that is logged as a failure of the VM or a target; 503 is logged as a refusal.
 constexpr unsigned first_server_error_status = 500;
 
@@ -107,14 +110,15 @@
                  const request_summary& summary) {
     const instant now = now_of(core);
     const auto latency = std::chrono::floor<milliseconds>(now - request.received_at);
-    ++core.metrics.requests_by_outcome[summary.outcome];
+    ++(request.relayed ? core.metrics.relayed_by_outcome : core.metrics.requests_by_outcome)[summary.outcome];
     log_fields fields;
     fields.add("request", request.id)
         .add("outcome", summary.outcome)
         .add("status", summary.status)
         .add("took_ms", latency.count())
         .add("config", core.config ? core.config->rules().version : 0)
-        .add("loop_delay_ms", core.loop_delay.count());
+        .add("loop_delay_ms", core.loop_delay.count())
+        .add("relayed", request.relayed.has_value());
     if (plan != nullptr) {
         fields.add("service", plan->service)
             .add("route", plan->route->name)
@@ -143,7 +147,7 @@
         event = summary.status >= first_server_error_status && summary.status != 503
                     ? node_event::request_failed
                     : node_event::request_refused;
-    } else {
+    } else if (!request.relayed) {
         observe(core.metrics.answer_latency, latency);
     }
     core.log.write(now, event, fields);
@@ -223,8 +227,10 @@
 asio::awaitable<bool> read_head(caller_connection_state& state, request_parser& parser,
                                 caller_request& request) {
     const caller_limits limits = current_caller_limits(state.core);
+    const std::size_t max_header_bytes =
+        limits.max_header_bytes + (state.is_from_vm ? relay_header_bytes : 0);
     parser.header_limit(static_cast<std::uint32_t>(
-        std::min<std::size_t>(limits.max_header_bytes, std::numeric_limits<std::uint32_t>::max())));
+        std::min<std::size_t>(max_header_bytes, std::numeric_limits<std::uint32_t>::max())));
     parser.body_limit(limits.max_body_bytes);
     error_code error;
     {
@@ -254,6 +260,21 @@
     co_return false;
 }
 
+// On a peer's connection, sets what the peer has decided about the request. Returns the reply if it is
+// refused.
+tl::expected<void, local_reply> read_relay_headers(const caller_connection_state& state,
+                                                   caller_request& request) {
+    if (!state.is_from_vm) {
+        return {};
+    }
+    auto relayed = parse_relay_headers(state.core, request.head);
+    if (!relayed) {
+        return tl::unexpected(relayed.error());
+    }
+    request.relayed = std::move(*relayed);
+    return {};
+}
+
 // Serves one request. Returns false if the connection must be closed.
 asio::awaitable<bool> serve_request(caller_connection_state& state) {
     request_parser parser;
@@ -292,7 +313,8 @@
         log_request(state.core, request, nullptr, summary);
         co_return false;
     }
-    const auto plan = plan_request(state.core, request);
+    tl::expected<request_plan, local_reply> plan =
+        read_relay_headers(state, request).and_then([&] { return plan_request(state.core, request); });
     if (!plan) {
         const local_reply& reply = plan.error();
         state.keep_alive = state.keep_alive && !request.has_unbuffered_body;
@@ -319,18 +341,19 @@
     }
 }
 
-} // namespace
-
-asio::awaitable<void> serve_caller_connection(node_core& core, std::shared_ptr<tcp::socket> socket) {
+// Serves requests until the connection ends.
+asio::awaitable<void> serve_connection(caller_connection_state& state) {
+    node_core& core = state.core;
     const scoped_count open_connection(core.open_caller_connections);
-    caller_connection_state state(core, std::move(socket));
     error_code ignored;
     state.socket->non_blocking(true, ignored);
+    std::size_t uncounted = 0;
     bool ok = true;
     while (ok && state.keep_alive) {
         ok = co_await wait_for_request(state);
         if (ok) {
             const scoped_count in_progress(core.requests_in_progress);
+            const scoped_count relayed(state.is_from_vm ? core.relayed_requests : uncounted);
             ok = co_await serve_request(state);
         }
         state.buffer.shrink_to_fit();
@@ -341,10 +364,29 @@
     state.socket->close(ignored);
 }
 
+} // namespace
+
+asio::awaitable<void> serve_caller_connection(node_core& core, std::shared_ptr<tcp::socket> socket) {
+    caller_connection_state state(core, std::move(socket));
+    co_await serve_connection(state);
+}
+
+asio::awaitable<void> serve_relay_connection(node_core& core, std::shared_ptr<tcp::socket> socket) {
+    caller_connection_state state(core, std::move(socket));
+    state.is_from_vm = true;
+    co_await serve_connection(state);
+}
+
 asio::awaitable<void> accept_callers(node_core& core, tcp::acceptor& acceptor) {
     return accept_connections(core, acceptor, [&core](std::shared_ptr<tcp::socket> socket) {
         return serve_caller_connection(core, std::move(socket));
     });
 }
 
+asio::awaitable<void> accept_relays(node_core& core, tcp::acceptor& acceptor) {
+    return accept_connections(core, acceptor, [&core](std::shared_ptr<tcp::socket> socket) {
+        return serve_relay_connection(core, std::move(socket));
+    });
+}
+
 } // namespace cassiaspan
--- a/packages/proxy/caller_session.h
+++ b/packages/proxy/caller_session.h
@@ -12,4 +12,8 @@
 // Accepts and serves callers' connections until the acceptor is closed.
 asio::awaitable<void> accept_callers(node_core& core, tcp::acceptor& acceptor);
 
+// The same for peers that relay requests; see relay.h.
+asio::awaitable<void> serve_relay_connection(node_core& core, std::shared_ptr<tcp::socket> socket);
+asio::awaitable<void> accept_relays(node_core& core, tcp::acceptor& acceptor);
+
 } // namespace cassiaspan
--- /dev/null
+++ b/packages/proxy/crash_suspects.h
@@ -0,0 +1,14 @@
+// Finds the requests that may crash targets, for the quarantine.
+#pragma once
+
+#include "node_core.h"
+#include "retry_rules.h"
+
+namespace cassiaspan {
+
+// Remembers a request that failed at the target, and reports it as a crash suspect once the target is
+// unreachable, which means that it crashed.
+void track_crash_suspect(node_core& core, std::uint64_t fingerprint, const target_record& target,
+                         attempt_end outcome);
+
+} // namespace cassiaspan
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -1,19 +1,18 @@
 #include "forwarding.h"
 
+#include "crash_suspects.h"
+#include "relay.h"
 #include "retry_after.h"
-#include "stable_hash.h"
 #include "target_selection.h"
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace cassiaspan {
 
 namespace {
 
-// A failed attempt counts as a crash of the target if the target is unreachable within this time afterwards.
-constexpr milliseconds crash_confirmation_time{2000};
-
 // Returns the header to send to targets: the caller's without hop-by-hop headers, the workspace's key and the
 // headers that this VM sets itself, and with the workspace's name.
 http::request_header<> make_outgoing_head(const node_core& core, const caller_request& request,
@@ -32,7 +31,8 @@
         const bool is_workspace_key =
             field.name() == http::field::authorization && !plan.config->rules().workspaces.empty();
         const bool is_replaced = std::any_of(replaced_headers.begin(), replaced_headers.end(), is_field);
-        if (!is_workspace_key && !is_replaced && !is_hop_by_hop(request.head, field.name_string()) &&
+        if (!is_workspace_key && !is_replaced && !is_relay_header(field.name_string()) &&
+            !is_hop_by_hop(request.head, field.name_string()) &&
             field.name() != http::field::content_length && field.name() != http::field::expect) {
             head.insert(field.name_string(), field.value());
         }
@@ -52,6 +52,7 @@
     outgoing.remaining_body = std::move(remaining_body);
     outgoing.id = request.id;
     outgoing.is_idempotent = plan.route->kind == request_kind::idempotent;
+    outgoing.is_relayed = request.relayed.has_value();
     http::request<http::empty_body> with_framing(std::move(outgoing.head));
     if (!request.has_unbuffered_body) {
         const bool had_body = !request.body.empty() || request.head.count(http::field::content_length) != 0 ||
@@ -74,7 +75,11 @@
                         const request_plan& plan) {
     const header_names& names = core.platform.headers();
     const auto time_left = std::chrono::duration_cast<milliseconds>(plan.deadline - now_of(core));
-    outgoing.head.set(names.target_instance, target.info.id);
+    if (target.is_peer) {
+        outgoing.head.erase(names.target_instance);
+    } else {
+        outgoing.head.set(names.target_instance, target.info.id);
+    }
     outgoing.head.set(names.deadline_ms, std::to_string(std::max<std::int64_t>(1, time_left.count())));
 }
 
@@ -82,8 +87,14 @@
 struct forward_progress {
     // Targets that were selected, including unreachable ones.
     std::vector<target_ptr> tried;
-    // Attempts that reached their target.
+    // Targets that the request was sent to, by this VM or by a peer.
     std::size_t attempts = 0;
+    // Targets of this VM's own that were unreachable one after the other.
+    std::size_t unreachable_in_a_row = 0;
+    // Peers to which the request was passed.
+    std::size_t relays = 0;
+    // Retry-After of the last peer that refused the request.
+    std::optional<milliseconds> peer_retry_after;
     // Whether the request may have been executed by any of the targets.
     bool may_have_run_at_any = false;
     attempt_end last_outcome = attempt_end::unreachable;
@@ -109,36 +120,13 @@
 // Returns the reply to a request whose attempts have all failed.
 local_reply make_failure_reply(node_core& core, const forward_progress& progress) {
     const unsigned status = final_status(progress.last_outcome, progress.may_have_run_at_any);
-    local_reply reply{status, to_string(progress.last_outcome), {}};
+    local_reply reply{status, to_string(progress.last_outcome), {}, progress.attempts};
     if (status == 503) {
-        reply.retry_after = jittered_retry_after(core, min_retry_after);
+        reply.retry_after = progress.peer_retry_after.value_or(jittered_retry_after(core, min_retry_after));
     }
     return reply;
 }
 
-// Remembers requests that failed at a target, and reports them as crash suspects once the target is
-// unreachable, which means that it crashed. The quarantine counts these reports.
-void track_crash_suspect(node_core& core, const request_plan& plan, const target_record& target,
-                         attempt_end outcome) {
-    const instant now = now_of(core);
-    auto& suspects = core.failed_requests_by_target[target.info.id];
-    std::erase_if(suspects,
-                  [now](const auto& suspect) { return now - suspect.second > crash_confirmation_time; });
-    if (outcome == attempt_end::failed) {
-        suspects.emplace_back(plan.fingerprint, now);
-    }
-    if (outcome != attempt_end::unreachable) {
-        return;
-    }
-    for (const auto& [fingerprint, failed_at] : suspects) {
-        const std::uint64_t crash_id =
-            stable_hash(target.info.id, static_cast<std::uint64_t>(target.info.started_ms));
-        record_crash(core.crash_quarantine, fingerprint, crash_id, now);
-        core.crash_reports[{fingerprint, crash_id}] = now + crash_report_lifetime;
-    }
-    suspects.clear();
-}
-
 void log_attempt(node_core& core, const caller_request& request, const target_record& target,
                  const attempt_result& result) {
     const instant now = now_of(core);
@@ -146,6 +134,7 @@
                    log_fields()
                        .add("request", request.id)
                        .add("target", target.info.id)
+                       .add("relayed", target.is_peer)
                        .add("service", target.info.service)
                        .add("end", to_string(result.outcome))
                        .add("status", result.head.result_int())
@@ -160,12 +149,122 @@
 // request whose body is not fully buffered cannot be sent again.
 bool may_retry(node_core& core, const request_plan& plan, const caller_request& request,
                const forward_progress& progress) {
-    return is_retryable(plan.route->kind, progress.last_outcome) &&
-           progress.attempts < plan.route->max_attempts && !request.has_unbuffered_body &&
+    return is_retryable(plan.route->kind, progress.last_outcome) && progress.attempts < plan.max_attempts &&
+           !request.has_unbuffered_body &&
            try_take_retry(get_service_stats(core, plan.service).retries, core.settings.retries,
                           count_bucket_replicas(core).total, now_of(core));
 }
 
+// Where a request is sent next: a target, or a peer that relays it. `target` is null if there is none; then
+// `selection` says why.
+struct next_hop {
+    target_ptr target;
+    target_selection selection;
+};
+
+// Returns whether the request may be passed to a peer.
+bool may_relay(const caller_request& request, const request_plan& plan, const forward_progress& progress) {
+    return !request.relayed && progress.relays < max_relays_per_request &&
+           progress.attempts < plan.max_attempts;
+}
+
+// Returns whether a peer is to be preferred to this VM's own targets: they are out of reach, or have only
+// just come back, or the last ones that were tried were unreachable.
+bool prefers_relay(node_core& core, const request_plan& plan, const forward_progress& progress) {
+    constexpr std::size_t max_unreachable_targets = 2;
+    if (progress.relays > 0 || progress.unreachable_in_a_row >= max_unreachable_targets ||
+        is_out_of_reach(core, plan.service)) {
+        return true;
+    }
+    const instant now = now_of(core);
+    const double direct = std::min(direct_fraction(core.reach, now),
+                                   direct_fraction(get_service_stats(core, plan.service).reach, now));
+    return direct < 1 && std::uniform_real_distribution<double>(0, 1)(core.random) >= direct;
+}
+
+next_hop select_next_hop(node_core& core, const caller_request& request, const request_plan& plan,
+                         const forward_progress& progress) {
+    const bool can_relay = may_relay(request, plan, progress);
+    if (can_relay && prefers_relay(core, plan, progress)) {
+        if (target_ptr peer = select_relay(core, plan, progress.tried)) {
+            return {std::move(peer), {}};
+        }
+    }
+    if (progress.relays > 0 && is_out_of_reach(core, plan.service)) {
+        return {};
+    }
+    target_selection selection = select_target(core, plan, progress.tried);
+    const bool are_all_backing_off =
+        selection.no_eligible_target &&
+        failed_recently(get_service_stats(core, plan.service).reach, now_of(core));
+    if (can_relay && are_all_backing_off) {
+        if (target_ptr peer = select_relay(core, plan, progress.tried)) {
+            return {std::move(peer), {}};
+        }
+    }
+    target_ptr target = selection.target;
+    return {std::move(target), std::move(selection)};
+}
+
+// Sets the headers of the attempt and records the choice of its target.
+void prepare_attempt(node_core& core, outgoing_request& outgoing, const request_plan& plan,
+                     const next_hop& hop, const forward_progress& progress) {
+    set_target_headers(core, outgoing, *hop.target, plan);
+    outgoing.target_is_warm.reset();
+    if (hop.target->is_peer) {
+        set_relay_headers(core, outgoing.head, *hop.target, plan, plan.max_attempts - progress.attempts);
+        return;
+    }
+    clear_relay_headers(outgoing.head);
+    record_selection(core, plan, *hop.target);
+    if (plan.affinity_hash) {
+        outgoing.target_is_warm = hop.selection.reason == placement_reason::known_warm;
+    }
+}
+
+// Returns the Retry-After of a peer's refusal, or nothing if it has none that can be read.
+std::optional<milliseconds> read_retry_after(const http::response_header<>& head) {
+    constexpr double max_seconds = 10;
+    const auto text = head[http::field::retry_after];
+    double time = 0;
+    if (std::from_chars(text.data(), text.data() + text.size(), time).ec != std::errc() || !(time >= 0)) {
+        return std::nullopt;
+    }
+    return std::chrono::ceil<milliseconds>(std::chrono::duration<double>(std::min(time, max_seconds)));
+}
+
+// Returns whether the attempt ended before any target received the request.
+bool reached_no_target(const target_record& target, const attempt_result& result) {
+    return result.outcome == attempt_end::unreachable ||
+           (target.is_peer && result.outcome == attempt_end::rejected && result.relayed_attempts == 0);
+}
+
+// Adds the attempt to the progress. A peer that gives no number of attempts may have used all that were left.
+void record_attempt(node_core& core, const request_plan& plan, const target_ptr& target_pointer,
+                    const attempt_result& result, forward_progress& progress) {
+    target_record& target = *target_pointer;
+    progress.tried.push_back(target_pointer);
+    progress.last_outcome = result.outcome;
+    progress.may_have_run_at_any = progress.may_have_run_at_any || may_have_run(result.outcome);
+    if (!target.is_peer) {
+        progress.attempts += result.outcome == attempt_end::unreachable ? 0 : 1;
+        progress.unreachable_in_a_row =
+            result.outcome == attempt_end::unreachable ? progress.unreachable_in_a_row + 1 : 0;
+        return;
+    }
+    ++progress.relays;
+    if (result.outcome != attempt_end::unreachable) {
+        progress.attempts = std::min(plan.max_attempts,
+                                     progress.attempts + result.relayed_attempts.value_or(plan.max_attempts));
+    }
+    if (result.outcome == attempt_end::rejected) {
+        progress.peer_retry_after = read_retry_after(result.head);
+        if (reached_no_target(target, result)) {
+            target.health.backoff_until = now_of(core) + progress.peer_retry_after.value_or(milliseconds(0));
+        }
+    }
+}
+
 } // namespace
 
 bool is_hop_by_hop(const http::fields& fields, boost::beast::string_view name) {
@@ -186,40 +285,36 @@
     outgoing_request outgoing = make_outgoing(core, request, plan, std::move(remaining_body));
     forward_progress progress;
     for (;;) {
-        const target_selection selection = select_target(core, plan, progress.tried);
-        if (!selection.target) {
-            co_return progress.attempts == 0 ? make_refusal(core, plan, selection)
+        const next_hop hop = select_next_hop(core, request, plan, progress);
+        if (!hop.target) {
+            co_return progress.tried.empty() ? make_refusal(core, plan, hop.selection)
                                              : make_failure_reply(core, progress);
         }
         if (progress.tried.empty()) {
-            if (auto refused = consume_workspace_token(core, plan)) {
+            if (auto refused = consume_workspace_token(core, plan, request)) {
                 co_return std::move(*refused);
             }
         }
-        const target_ptr target = selection.target;
-        record_selection(core, plan, *target);
-        set_target_headers(core, outgoing, *target, plan);
-        if (plan.affinity_hash) {
-            outgoing.target_is_warm = selection.reason == placement_reason::known_warm;
-        }
+        const target_ptr target = hop.target;
+        prepare_attempt(core, outgoing, plan, hop, progress);
         attempt_result result = co_await run_attempt(core, target, outgoing, cancellation, sink);
-        if (result.outcome != attempt_end::unreachable) {
-            ++progress.attempts;
-        }
-        progress.tried.push_back(target);
-        progress.last_outcome = result.outcome;
-        progress.may_have_run_at_any = progress.may_have_run_at_any || may_have_run(result.outcome);
+        record_attempt(core, plan, target, result, progress);
         if (result.streamed) {
             co_return nothing_to_write{result.outcome == attempt_end::answered};
         }
         if (result.outcome == attempt_end::answered) {
-            target_response response{std::move(result.head), std::move(result.body),
-                                     target->info.id,        result.load_at_send,
-                                     result.latency,         to_string(selection.reason)};
+            target_response response{std::move(result.head),
+                                     std::move(result.body),
+                                     target->is_peer ? result.relayed_target : target->info.id,
+                                     result.load_at_send,
+                                     result.latency,
+                                     target->is_peer ? "relayed" : to_string(hop.selection.reason)};
             co_return response;
         }
         log_attempt(core, request, *target, result);
-        track_crash_suspect(core, plan, *target, result.outcome);
+        if (!target->is_peer) {
+            track_crash_suspect(core, plan.fingerprint, *target, result.outcome);
+        }
         if (cancellation->caller_left) {
             co_return nothing_to_write{false};
         }
@@ -229,9 +324,9 @@
         if (is_cancelled(*cancellation)) {
             co_return make_failure_reply(core, progress);
         }
-        // Nothing was sent to an unreachable target, so another target is selected without using the retry
-        // budget, as long as few targets have been tried.
-        const bool unsent = result.outcome == attempt_end::unreachable && !request.has_unbuffered_body;
+        // A request that no target has received is sent elsewhere without using the retry budget, as long as
+        // few targets and peers have been tried.
+        const bool unsent = !request.has_unbuffered_body && reached_no_target(*target, result);
         constexpr std::size_t max_tried_without_retry_budget = 4;
         if (!(unsent && progress.tried.size() <= max_tried_without_retry_budget) &&
             !may_retry(core, plan, request, progress)) {
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -19,6 +19,7 @@
 #include "steering_config.h"
 #include "store_mirror.h"
 #include "store_reader.h"
+#include "target_reach.h"
 #include "target_table.h"
 #include "traffic_split.h"
 
@@ -65,6 +66,8 @@
     std::optional<instant> first_request_time;
     // Fraction of the affinity keys of this region's callers that each region serves.
     region_shares shares;
+    // Whether this VM reaches the service's targets.
+    target_reach reach;
 };
 
 // Expected service times of one request, without queueing, at a warm and at a cold target.
@@ -133,6 +136,14 @@
     target_table targets;
     std::set<std::string> evacuated_zones;
     peer_table peers;
+    // Whether this VM reaches targets at all.
+    target_reach reach;
+    // Connections to peers that serve requests for this VM, by the peer's name.
+    std::unordered_map<std::string, target_ptr> relays;
+    // What a peer must send with a request that this VM is to serve for it.
+    std::uint64_t relay_key = std::random_device{}() | std::uint64_t{std::random_device{}()} << 32U;
+    // Requests in progress that this VM serves for peers.
+    std::size_t relayed_requests = 0;
 
     // By workspace name.
     std::unordered_map<std::string, workspace_budget> workspaces;
--- a/packages/proxy/node_log.h
+++ b/packages/proxy/node_log.h
@@ -23,6 +23,7 @@
     target_changed = 612,
     evacuation_changed = 613,
     peer_changed = 614,
+    reach_changed = 615,
     store_unavailable = 620,
     store_recovered = 621,
     store_restored = 622,
--- a/packages/proxy/node_metrics.cpp
+++ b/packages/proxy/node_metrics.cpp
@@ -34,6 +34,8 @@
     std::string text;
     append_by_outcome(text, "requests", metrics.requests_by_outcome);
     append_by_outcome(text, "attempts", metrics.attempts_by_outcome);
+    append_by_outcome(text, "relayed", metrics.relayed_by_outcome);
+    append_by_outcome(text, "relay_attempts", metrics.relay_attempts_by_outcome);
     append_by_outcome(text, "store_calls", metrics.store_calls_by_outcome);
     append_counter(text, "target_connections", metrics.target_connections);
     append_counter(text, "gossip_sent", metrics.gossip_sent);
--- a/packages/proxy/node_metrics.h
+++ b/packages/proxy/node_metrics.h
@@ -26,6 +26,9 @@
     // By outcome: the status class of a target's response, or the reason for a refusal.
     std::map<std::string, std::uint64_t> requests_by_outcome;
     std::map<std::string, std::uint64_t> attempts_by_outcome;
+    // Requests that this VM has served for peers, and attempts to have a peer serve a request.
+    std::map<std::string, std::uint64_t> relayed_by_outcome;
+    std::map<std::string, std::uint64_t> relay_attempts_by_outcome;
     std::map<std::string, std::uint64_t> store_calls_by_outcome;
     std::uint64_t target_connections = 0;
     std::uint64_t gossip_sent = 0;
--- a/packages/proxy/node_settings.h
+++ b/packages/proxy/node_settings.h
@@ -50,6 +50,8 @@
     std::uint32_t link_mbps = 0;
     // Maximum number of open file descriptors of the process.
     std::size_t max_open_files = 1024;
+    // Listen address for requests of other VMs that cannot reach the targets; port 0 disables the listener.
+    socket_address relay_address;
     // Listen address for metrics; port 0 disables the listener.
     socket_address metrics_address;
     auto operator<=>(const node_settings&) const = default;
--- a/packages/proxy/peer_table.cpp
+++ b/packages/proxy/peer_table.cpp
@@ -39,6 +39,8 @@
     peer.caller_address = *caller_address;
     peer.peer_address = *peer_address;
     peer.gossip_address = *gossip_address;
+    peer.relay_address = parse_address(record.relay_address()).value_or(socket_address{});
+    peer.relay_key = record.relay_key();
     return &peer;
 }
 
--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -44,10 +44,14 @@
     socket_address caller_address;
     socket_address peer_address;
     socket_address gossip_address;
+    // Where the VM serves requests for VMs that cannot reach the targets; port 0 if it does not.
+    socket_address relay_address;
     // What follows belongs to the current incarnation, apart from `has_store_record`.
     incarnation_history incarnations;
     // Bandwidth of the VM's link in Mbit/s; 0 if unknown.
     std::uint32_t link_mbps = 0;
+    // Must be sent with requests to `relay_address`.
+    std::uint64_t relay_key = 0;
     // Whether the store contains the VM's record.
     bool has_store_record = false;
 
@@ -63,6 +67,10 @@
     store_position mirror_position;
     // Whether the VM reads the store.
     store_access access = store_access::not_reading;
+    // Whether the VM reaches no targets at all, and the services whose targets it cannot reach, as the lower
+    // 32 bits of the hash of the name.
+    bool targets_unreachable = false;
+    std::vector<std::uint32_t> unreachable_services;
     // Values of the last report: requests in flight by target, admitted requests by workspace, and requests
     // read by service. Keys are the lower 32 bits of the name hash.
     target_use_counts target_uses;
--- /dev/null
+++ b/packages/proxy/reach_tracking.cpp
@@ -0,0 +1,113 @@
+#include "reach_tracking.h"
+
+#include "background_task.h"
+#include "relay.h"
+#include "target_connections.h"
+#include "target_selection.h"
+
+#include <algorithm>
+
+namespace cassiaspan {
+
+namespace {
+
+constexpr milliseconds probe_interval{250};
+
+void log_reach(node_core& core, std::string_view service, const char* state) {
+    core.log.write(now_of(core), node_event::reach_changed,
+                   log_fields().add("service", service).add("state", state));
+}
+
+// Forgets the failures of the service's targets, if a peer has reached them all the while.
+void forgive_failures(node_core& core, const std::string& service) {
+    const instant now = now_of(core);
+    const std::uint32_t hash = get_service_stats(core, service).name_hash;
+    const auto& peers = core.peers.by_name;
+    if (std::none_of(peers.begin(), peers.end(), [hash, now](const auto& entry) {
+            return is_alive(entry.second, now) && reaches_service(entry.second, hash);
+        })) {
+        return;
+    }
+    for (const target_ptr& target : core.targets.find_by_service(service)) {
+        target->may_have_restarted = false;
+        target->health.failure_rate = 0;
+        target->health.consecutive_connect_failures = 0;
+        target->health.backoff_until = instant{};
+    }
+}
+
+// Opens a connection to the target and adds it to the pool.
+asio::awaitable<void> probe(node_core& core, target_ptr target) {
+    auto cancellation = std::make_shared<request_cancellation>();
+    auto connection = co_await open_connection(core, target, cancellation);
+    if (connection) {
+        pool_connection(*target, std::move(connection), now_of(core));
+    }
+}
+
+// Returns a random target of the service that accepts requests apart from its failures, or null.
+target_ptr choose_probe_target(node_core& core, const std::string& service) {
+    std::vector<target_ptr> candidates;
+    for (const target_ptr& target : core.targets.find_by_service(service)) {
+        if (!target->info.draining && core.evacuated_zones.count(target->info.availability_zone) == 0) {
+            candidates.push_back(target);
+        }
+    }
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    return candidates[core.random() % candidates.size()];
+}
+
+} // namespace
+
+void record_target_contact(node_core& core, const target_record& target) {
+    const instant now = now_of(core);
+    const std::string& service = target.info.service;
+    if (record_contact(core.reach, now)) {
+        log_reach(core, "", "reached");
+        for (const auto& [name, stats] : core.services) {
+            if (!stats.reach.is_lost) {
+                forgive_failures(core, name);
+            }
+        }
+    }
+    if (record_contact(get_service_stats(core, service).reach, now)) {
+        log_reach(core, service, "reached");
+        forgive_failures(core, service);
+    }
+}
+
+void record_target_failure(node_core& core, const target_record& target) {
+    const instant now = now_of(core);
+    const std::string& service = target.info.service;
+    const std::uint32_t hash = low_32_bits(target.id_hash);
+    if (record_no_contact(core.reach, hash, core.targets.all().size(), now)) {
+        log_reach(core, "", "lost");
+    }
+    if (record_no_contact(get_service_stats(core, service).reach, hash,
+                          core.targets.find_by_service(service).size(), now)) {
+        log_reach(core, service, "lost");
+    }
+}
+
+asio::awaitable<void> probe_lost_targets(node_core& core) {
+    for (;;) {
+        // The jitter keeps the VMs of a zone from probing in step.
+        std::uniform_int_distribution<int> jitter(0, static_cast<int>(probe_interval.count() / 2));
+        co_await sleep_for(core.context, probe_interval + milliseconds(jitter(core.random)));
+        std::vector<std::string> services;
+        for (const auto& [name, stats] : core.services) {
+            if (is_out_of_reach(core, name)) {
+                services.push_back(name);
+            }
+        }
+        for (const std::string& service : services) {
+            if (const target_ptr target = choose_probe_target(core, service)) {
+                spawn_task(core, "target probe", probe(core, target));
+            }
+        }
+    }
+}
+
+} // namespace cassiaspan
--- a/packages/proxy/request_plan.cpp
+++ b/packages/proxy/request_plan.cpp
@@ -47,6 +47,13 @@
     if (plan.config->rules().workspaces.empty() || plan.route->is_public) {
         return {};
     }
+    if (request.relayed) {
+        plan.workspace = plan.config->find_workspace_by_name(request.relayed->workspace);
+        if (plan.workspace == nullptr) {
+            return tl::unexpected(local_reply{status_unavailable, "relay_config", {}});
+        }
+        return {};
+    }
     if (credentials.substr(0, scheme.size()) == scheme) {
         plan.workspace = plan.config->find_workspace(credentials.substr(scheme.size()));
     }
@@ -82,8 +89,8 @@
 }
 
 // Refuses the request if the workspace's bucket is empty. Takes no token; consume_workspace_token does.
-step_result check_rate_limit(node_core& core, const request_plan& plan) {
-    if (plan.workspace == nullptr) {
+step_result check_rate_limit(node_core& core, const request_plan& plan, const caller_request& request) {
+    if (plan.workspace == nullptr || request.relayed) {
         return {};
     }
     workspace_budget& budget = get_workspace_budget(core, *plan.workspace);
@@ -93,17 +100,32 @@
     return {};
 }
 
+// Returns whether the peer that sent the request has chosen a service of the route's traffic split.
+bool is_chosen_by_peer(const request_plan& plan, const caller_request& request) {
+    const auto& split = plan.route->split;
+    return request.relayed &&
+           std::any_of(split.begin(), split.end(), [&request](const weighted_service& each) {
+               return each.service == request.relayed->service;
+           });
+}
+
 // Chooses a service of the route's traffic split, sets the affinity hash, and counts the request in the
-// service's retry budget and demand.
+// service's retry budget and demand. A request of a peer has been counted there.
 void choose_service(node_core& core, request_plan& plan, const caller_request& request) {
     const auto& split = plan.route->split;
-    plan.service = split.size() == 1
+    plan.service = is_chosen_by_peer(plan, request) ? request.relayed->service
+                   : split.size() == 1
                        ? split.front().service
                        : split[choose_weighted_service(core.splits[plan.route->name], split)].service;
     const std::string_view key = to_string_view(request.head[core.platform.headers().affinity_key]);
     if (plan.route->affinity && !key.empty()) {
         plan.affinity_hash = stable_hash(key);
     }
+    plan.max_attempts = plan.route->max_attempts;
+    if (request.relayed) {
+        plan.max_attempts = std::min(plan.max_attempts, request.relayed->attempts_left);
+        return;
+    }
     const instant now = now_of(core);
     service_stats& stats = get_service_stats(core, plan.service);
     record_request(stats.retries, core.settings.retries, now);
@@ -139,7 +161,7 @@
     }
     const step_result checked = authenticate(plan, request)
                                     .and_then([&] { return check_quarantine(core, plan, request); })
-                                    .and_then([&] { return check_rate_limit(core, plan); });
+                                    .and_then([&] { return check_rate_limit(core, plan, request); });
     if (!checked) {
         return tl::unexpected(checked.error());
     }
@@ -148,8 +170,9 @@
     return plan;
 }
 
-std::optional<local_reply> consume_workspace_token(node_core& core, const request_plan& plan) {
-    if (plan.workspace == nullptr) {
+std::optional<local_reply> consume_workspace_token(node_core& core, const request_plan& plan,
+                                                   const caller_request& request) {
+    if (plan.workspace == nullptr || request.relayed) {
         return std::nullopt;
     }
     workspace_budget& budget = get_workspace_budget(core, *plan.workspace);
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -1,9 +1,12 @@
 #include "steering_node.h"
 
+#include "accept_loop.h"
 #include "background_task.h"
 #include "caller_session.h"
 #include "gossip.h"
+#include "reach_tracking.h"
 #include "region_balance.h"
+#include "relay.h"
 #include "simple_http_service.h"
 #include "store_sync.h"
 #include "store_watcher.h"
@@ -46,9 +49,9 @@
     running_node(node_core& core_in, const store_factory& make_store, const settings_loader& load_settings_in)
         : core(core_in), load_settings(load_settings_in), caller_acceptor(core_in.context),
           readiness_acceptor(core_in.context), lookup_acceptor(core_in.context),
-          peer_acceptor(core_in.context), metrics_acceptor(core_in.context), gossip(core_in),
-          watch_connection(make_store(core_in.context)), record_connection(make_store(core_in.context)),
-          signals(core_in.context, SIGTERM, SIGINT, SIGHUP) {}
+          peer_acceptor(core_in.context), relay_acceptor(core_in.context), metrics_acceptor(core_in.context),
+          gossip(core_in), watch_connection(make_store(core_in.context)),
+          record_connection(make_store(core_in.context)), signals(core_in.context, SIGTERM, SIGINT, SIGHUP) {}
 
     // Binds all listeners. Returns the address and the reason if one fails.
     tl::expected<void, std::string> open() {
@@ -58,6 +61,7 @@
             {&this->readiness_acceptor, settings.readiness_address},
             {&this->lookup_acceptor, settings.directory_address},
             {&this->peer_acceptor, settings.peer_address},
+            {&this->relay_acceptor, settings.relay_address},
             {&this->metrics_acceptor, settings.metrics_address}};
         for (const auto& [acceptor, address] : listeners) {
             if (address.port == 0) {
@@ -77,6 +81,10 @@
     void start() {
         this->spawn("callers' listener",
                     [this] { return accept_callers(this->core, this->caller_acceptor); });
+        if (this->relay_acceptor.is_open()) {
+            this->spawn("relays' listener",
+                        [this] { return accept_relays(this->core, this->relay_acceptor); });
+        }
         this->serve_simple(this->readiness_acceptor, answer_readiness_check);
         this->serve_simple(this->lookup_acceptor, answer_lookup);
         this->serve_simple(this->metrics_acceptor, answer_metrics);
@@ -86,6 +94,7 @@
         this->spawn("gossip receiver", [this] { return this->gossip.receive_loop(); });
         this->spawn("store watch", [this] { return watch_store(this->core, *this->watch_connection); });
         this->spawn("VM record", [this] { return maintain_vm_record(this->core, *this->record_connection); });
+        this->spawn("target probes", [this] { return probe_lost_targets(this->core); });
         this->spawn("deadlines", [this] { return this->check_deadlines(); });
         this->spawn("housekeeping", [this] { return this->run_housekeeping(); });
         this->spawn("log", [this] { return this->flush_log(); });
@@ -137,6 +146,7 @@
             for (const auto& [id, target] : this->core.targets.all()) {
                 close_expired_connections(*target, now);
             }
+            remove_stale_relays(this->core);
             clear_silent_peer_loads(this->core);
             update_region_shares(this->core, housekeeping_interval);
         }
@@ -183,17 +193,20 @@
 
     // Serves the connections that the kernel has accepted and that wait for the listener, then closes it:
     // closing alone would reset them.
-    void close_caller_listener() {
+    void close_listener(tcp::acceptor& acceptor, const connection_handler& handler) {
+        if (!acceptor.is_open()) {
+            return;
+        }
         error_code error;
-        this->caller_acceptor.non_blocking(true, error);
+        acceptor.non_blocking(true, error);
         while (!error) {
             auto socket = std::make_shared<tcp::socket>(this->core.context);
-            this->caller_acceptor.accept(*socket, error);
+            acceptor.accept(*socket, error);
             if (!error) {
-                spawn_task(this->core, "connection", serve_caller_connection(this->core, std::move(socket)));
+                spawn_task(this->core, "connection", handler(std::move(socket)));
             }
         }
-        this->caller_acceptor.close(error);
+        acceptor.close(error);
     }
 
     // Performs a planned stop: the VM removes itself from lookups, handles requests that arrive meanwhile,
@@ -208,7 +221,12 @@
         co_await sleep_for(this->core.context,
                            std::min<milliseconds>(max_announcement_time, grace / announcement_grace_divisor));
         this->core.phase = node_phase::draining;
-        this->close_caller_listener();
+        this->close_listener(this->caller_acceptor, [this](std::shared_ptr<tcp::socket> socket) {
+            return serve_caller_connection(this->core, std::move(socket));
+        });
+        this->close_listener(this->relay_acceptor, [this](std::shared_ptr<tcp::socket> socket) {
+            return serve_relay_connection(this->core, std::move(socket));
+        });
         // The new connections' requests are in progress once they have been read.
         co_await sleep_for(this->core.context, stop_poll_interval);
         while (this->core.requests_in_progress > 0 &&
@@ -229,6 +247,7 @@
     tcp::acceptor readiness_acceptor;
     tcp::acceptor lookup_acceptor;
     tcp::acceptor peer_acceptor;
+    tcp::acceptor relay_acceptor;
     tcp::acceptor metrics_acceptor;
     gossip_socket gossip;
     std::unique_ptr<metadata_store> watch_connection;
@@ -256,6 +275,7 @@
     node.start();
     core.context.run();
     core.targets.close_idle_connections();
+    core.relays.clear();
     return {};
 }
 
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -1,5 +1,7 @@
 #include "target_attempt.h"
 
+#include "reach_tracking.h"
+#include "relay.h"
 #include "target_connections.h"
 
 #include <array>
@@ -210,8 +212,14 @@
             if (error) {
                 result.outcome = attempt_end::failed;
                 result.detail = error.message();
+                if (error == asio::error::timed_out && !this->target.is_peer) {
+                    record_target_failure(this->core, this->target);
+                }
                 co_return;
             }
+            if (!this->target.is_peer) {
+                record_target_contact(this->core, this->target);
+            }
             if (parser.get().result_int() / 100 == 1) {
                 continue;
             }
@@ -254,7 +262,7 @@
     asio::awaitable<void> read_matching_response(response_parser& parser, attempt_result& result) {
         result.head = parser.get().base();
         result.outcome = classify_response(this->core.platform.headers(), result.head);
-        record_target_headers(this->core, this->target, result.head);
+        this->record_headers(result);
         if (result.outcome == attempt_end::failed) {
             // The connection is not used again, so the body need not be read.
             result.detail = "response has a content encoding or no seal of the target";
@@ -277,6 +285,30 @@
         this->reusable = complete && parser.get().keep_alive() && this->connection.buffer.size() == 0;
     }
 
+    // Records the headers of a response for the target that made it.
+    void record_headers(attempt_result& result) {
+        if (!this->target.is_peer) {
+            record_target_headers(this->core, this->target, result.head);
+            if (this->request.is_relayed) {
+                result.head.set(relay_headers::target, this->target.info.id);
+            }
+            return;
+        }
+        const auto id = result.head[relay_headers::target];
+        result.relayed_target.assign(id.data(), id.size());
+        const auto found = this->core.targets.all().find(result.relayed_target);
+        if (found != this->core.targets.all().end()) {
+            record_target_headers(this->core, *found->second, result.head);
+        }
+        const auto attempts = result.head[relay_headers::attempts];
+        std::size_t count = 0;
+        if (std::from_chars(attempts.data(), attempts.data() + attempts.size(), count).ec == std::errc()) {
+            result.relayed_attempts = count;
+        }
+        result.head.erase(relay_headers::target);
+        result.head.erase(relay_headers::attempts);
+    }
+
     // Reads the body into the result. A body larger than max_buffered_response_bytes is passed to the sink
     // instead. Returns false if the body is truncated or the sink fails.
     asio::awaitable<bool> read_body(response_parser& parser, attempt_result& result) {
@@ -370,6 +402,10 @@
         return;
     }
     const instant now = now_of(core);
+    if (target.is_peer) {
+        record_outcome(target.health, to_target_outcome(result.outcome), {}, now);
+        return;
+    }
     const auto slots = static_cast<double>(target.info.slots);
     const milliseconds own_time = estimate_service_time(result.target_time, result.load_at_send, slots);
     service_stats& stats = get_service_stats(core, target.info.service);
@@ -441,7 +477,8 @@
         }
     }
     update_estimates(core, *target, *cancellation, request.target_is_warm, result);
-    ++core.metrics.attempts_by_outcome[to_string(result.outcome)];
+    ++(target->is_peer ? core.metrics.relay_attempts_by_outcome
+                       : core.metrics.attempts_by_outcome)[to_string(result.outcome)];
     co_return result;
 }
 
--- a/packages/proxy/target_attempt.h
+++ b/packages/proxy/target_attempt.h
@@ -41,6 +41,8 @@
     std::string id;
     // Idempotent requests may use pooled connections that have been idle for longer.
     bool is_idempotent = false;
+    // Whether the caller is a peer, which is told which target responded.
+    bool is_relayed = false;
     // Whether the target is known to have handled the request's affinity key recently. Unset if the request
     // has no affinity key.
     std::optional<bool> target_is_warm;
@@ -54,6 +56,10 @@
     std::string body;
     // The response was passed to the sink, at least in part.
     bool streamed = false;
+    // The target that responded to a peer on behalf of this VM; empty if the attempt was made directly.
+    std::string relayed_target;
+    // For an attempt at a peer: the number of targets that the request was sent to, if the peer says so.
+    std::optional<std::size_t> relayed_attempts;
     // Duration of the whole attempt.
     milliseconds latency{};
     // The part of `latency` that was spent at the target: without opening a connection and without the
@@ -67,7 +73,9 @@
 
 // Sends the request to the target and reads the response, over a pooled connection or a new one. Failures are
 // reported in the result. Updates the in-flight count, load report, cold state and health of the target, and
-// the time averages of its service. Cancelling `cancellation` ends the attempt early.
+// the time averages of its service, and whether the service is in reach. If the target is a peer that relays
+// the request, the load and cold state are those of the target that it names in the response. Cancelling
+// `cancellation` ends the attempt early.
 asio::awaitable<attempt_result> run_attempt(node_core& core, target_ptr target,
                                             const outgoing_request& request, cancellation_ptr cancellation,
                                             const response_sink& sink);
--- a/packages/proxy/target_connections.cpp
+++ b/packages/proxy/target_connections.cpp
@@ -1,5 +1,7 @@
 #include "target_connections.h"
 
+#include "reach_tracking.h"
+
 #include <algorithm>
 #include <sys/socket.h>
 
@@ -80,11 +82,17 @@
     cancellation->active_socket = nullptr;
     timeout.reset();
     if (error || timed_out || is_cancelled(*cancellation)) {
+        if (!is_cancelled(*cancellation) && !target->is_peer) {
+            record_target_failure(core, *target);
+        }
         record_connection_closed(*target);
         co_return nullptr;
     }
     set_tcp_options(socket, target_user_timeout);
     record_connect_time(target->health, std::chrono::ceil<milliseconds>(now_of(core) - started_at));
+    if (!target->is_peer) {
+        record_target_contact(core, *target);
+    }
     co_return connection;
 }
 
--- a/packages/proxy/target_table.h
+++ b/packages/proxy/target_table.h
@@ -43,6 +43,8 @@
 // State of one incarnation of a target, from its start to its stop.
 struct target_record {
     target_info info;
+    // The record is that of a peer that serves requests for this VM (relay.h).
+    bool is_peer = false;
     // Hash of the id, equal on all VMs.
     std::uint64_t id_hash = 0;
     target_health health;
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -199,6 +199,10 @@
     record.set_gossip_address(format_address(core.settings.gossip_address));
     record.set_incarnation(core.incarnation);
     record.set_link_mbps(core.settings.link_mbps);
+    if (core.settings.relay_address.port != 0) {
+        record.set_relay_address(format_address(core.settings.relay_address));
+        record.set_relay_key(core.relay_key);
+    }
     return record;
 }
 
@@ -212,6 +216,10 @@
     record.set_gossip_address(format_address(peer.gossip_address));
     record.set_incarnation(peer.incarnations.current);
     record.set_link_mbps(peer.link_mbps);
+    if (peer.relay_address.port != 0) {
+        record.set_relay_address(format_address(peer.relay_address));
+        record.set_relay_key(peer.relay_key);
+    }
     return record;
 }
 
@@ -241,6 +249,12 @@
         entry.set_asked(stats.request_count);
     }
     gossip.set_has_all_counters(true);
+    gossip.set_targets_unreachable(core.reach.is_lost);
+    for (const auto& [name, stats] : core.services) {
+        if (stats.reach.is_lost) {
+            gossip.add_unreachable_services(stats.name_hash);
+        }
+    }
     const instant now = now_of(core);
     for (const auto& [report, until] : core.crash_reports) {
         if (now < until) {
@@ -293,6 +307,9 @@
         add_target_uses(*forwarded.mutable_target_uses(), peer.target_uses);
     }
     forwarded.set_has_all_counters(send_all_counts && peer.has_all_counters);
+    forwarded.set_targets_unreachable(peer.targets_unreachable);
+    forwarded.mutable_unreachable_services()->Add(peer.unreachable_services.begin(),
+                                                  peer.unreachable_services.end());
     for (const auto& [workspace, admitted] : peer.workspace_uses) {
         std::uint64_t& forwarded_count = last_forwarded.workspace_uses[workspace];
         if (send_all_counts || forwarded_count != admitted) {
@@ -346,6 +363,9 @@
     peer->mirror_position =
         std::max(peer->mirror_position, store_position{gossip.store_epoch(), gossip.store_revision()});
     peer->access = decode_access(gossip.store_access());
+    peer->targets_unreachable = gossip.targets_unreachable();
+    peer->unreachable_services.assign(gossip.unreachable_services().begin(),
+                                      gossip.unreachable_services().end());
     apply_store_access(core, *peer);
     apply_target_uses(core, *peer, gossip);
     apply_workspace_uses(core, *peer, gossip);
