Suspect no request of crashing targets that a VM has lost

What callers see: a VM that loses its links to the targets by resets, or that loses them and retries, counts the requests in flight as crash suspects at each target, as none can be reached afterwards. Two such targets quarantine a request, on all VMs and for a minute: popular lookups have one fingerprint for all callers.

Cause: an unreachable target was taken for one that has crashed. From a VM that reaches nothing this says nothing about the target.

--- a/packages/proxy/crash_suspects.cpp
+++ b/packages/proxy/crash_suspects.cpp
@@ -23,13 +23,17 @@
     if (outcome != attempt_end::unreachable) {
         return;
     }
-    for (const auto& [suspected, failed_at] : suspects) {
+    std::erase_if(suspects, [&](const auto& suspect) {
+        const auto& [suspected, failed_at] = suspect;
+        if (core.reach.last_contact <= failed_at) {
+            return false;
+        }
         const std::uint64_t crash_id =
             stable_hash(target.info.id, static_cast<std::uint64_t>(target.info.started_ms));
         record_crash(core.crash_quarantine, suspected, crash_id, now);
         core.crash_reports[{suspected, crash_id}] = now + crash_report_lifetime;
-    }
-    suspects.clear();
+        return true;
+    });
 }
 
 } // namespace cassiaspan
