Serve a request that has arrived when the idle timeout expires

What callers saw: a request on a kept connection was reset unread, although it had arrived within the idle time.

Cause: after a delay of the event loop, or when more sockets are ready than one pass handles, the idle timeout expires while the request waits in the socket.

Evidence: 'caller connection/a request that has arrived ends the idle time' failed before (expected 'HTTP/1.1 503', actual '').

Fix: after the timeout, the VM reads once more without waiting, and closes the connection only if nothing has arrived.

--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -49,8 +49,12 @@
     const socket_timeout timeout(state.core, state.socket,
                                  state.idle_timeout.value_or(current_caller_limits(state.core).idle_timeout));
     error_code error;
-    const std::size_t bytes =
+    std::size_t bytes =
         co_await state.socket->async_read_some(state.buffer.prepare(first_read_bytes), capture_error(error));
+    if (error == asio::error::operation_aborted) {
+        // On a busy VM, a request may have arrived before the timeout expired.
+        bytes = state.socket->read_some(state.buffer.prepare(first_read_bytes), error);
+    }
     state.buffer.commit(bytes);
     co_return !error;
 }
