Announce an idle time that is shorter than the one that applies

What callers saw: a request that was sent within the time announced in Keep-Alive crossed the close of its connection, if the configuration's idle timeout was below 2 s.

Cause: at least one second is announced, and the connection was closed after the configured time, which may be shorter.

Evidence: 'caller connection whose idle timeout is/0.5 s', '1 s' and '1.5 s' failed before (expected 'HTTP/1.1 404', actual ''); 2 s and 15 s passed before and after.

Fix: the time that applies is at least the announced one plus the margin of one second.

--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-// The idle timeout announced to callers is this many seconds shorter than the one that applies, so that
-// callers stop using a connection before it is closed.
-constexpr int keep_alive_margin_seconds = 1;
+// The idle timeout announced to callers is this much shorter than the one that applies, so that callers stop
+// using a connection before it is closed.
+constexpr milliseconds keep_alive_margin{1000};
 
 using local_response = http::response<http::string_body>;
 
@@ -35,10 +35,10 @@
     state.keep_alive = state.keep_alive && is_accepting(state.core);
     response.keep_alive(state.keep_alive);
     if (state.keep_alive) {
-        state.idle_timeout = current_idle_policy(state.core).idle_timeout;
-        const auto idle = std::chrono::floor<seconds>(*state.idle_timeout);
-        response.set(http::field::keep_alive, "timeout=" + std::to_string(std::max<std::int64_t>(
-                                                               1, idle.count() - keep_alive_margin_seconds)));
+        const milliseconds idle = current_idle_policy(state.core).idle_timeout;
+        const seconds announced = std::max(seconds(1), std::chrono::floor<seconds>(idle - keep_alive_margin));
+        state.idle_timeout = std::max(idle, announced + keep_alive_margin);
+        response.set(http::field::keep_alive, "timeout=" + std::to_string(announced.count()));
     }
 }
 
