Write a response for as long as its request has time

What callers saw: beside a change of the configuration, a response was cut off although the caller was reading it and its deadline had not passed. The request had been executed, and the caller got neither a whole answer nor a refusal.

Cause: each write of a response had to end within the idle timeout of the configuration in force at that moment. A configuration that shortens the idle timeout (config_change of kind idle) therefore cuts responses in writing on links whose round trip takes longer, as links of 10 Mbit/s do that callers fill. A response of up to 64 kB had to be accepted as a whole within that time.

Evidence: 'node slow reader/whose request has time left' failed before: the caller of a route with a timeout of 5 s, which read nothing for 2 s beside a change to an idle timeout of 0.5 s, got 3,588,255 of 8 MB, then the end of the connection.

Fix: a write ends once the caller has accepted no bytes for the idle timeout and the request's deadline has passed; every accepted part starts the time anew. The header and the last part of a streamed response, which had no timeout, have the same one.

--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -20,12 +20,29 @@
                               current_caller_limits(core).idle_timeout);
 }
 
-asio::awaitable<bool> write_response(caller_connection_state& state, local_response& response) {
-    const socket_timeout timeout(state.core, state.socket, current_caller_limits(state.core).idle_timeout);
+// Returns how long a write may wait for the caller to accept bytes. The request's deadline comes first: a
+// round trip to the caller may take longer than the idle timeout.
+milliseconds write_timeout(const caller_connection_state& state) {
+    const auto time_left = std::chrono::ceil<milliseconds>(state.request_deadline - now_of(state.core));
+    return std::max(current_caller_limits(state.core).idle_timeout, time_left);
+}
+
+// Writes what the serializer holds: all of the message, or the chunk in its body. Returns false if the
+// connection failed or the caller accepted no bytes for the write timeout.
+template <class Serializer>
+asio::awaitable<bool> write_remaining(caller_connection_state& state, Serializer& serializer) {
     error_code error;
-    co_await http::async_write(*state.socket, response, capture_error(error));
-    state.write_error = error;
-    co_return !error;
+    while (!error && !serializer.is_done()) {
+        const socket_timeout timeout(state.core, state.socket, write_timeout(state));
+        co_await http::async_write_some(*state.socket, serializer, capture_error(error));
+    }
+    state.write_error = error == http::error::need_buffer ? error_code() : error;
+    co_return !state.write_error;
+}
+
+asio::awaitable<bool> write_response(caller_connection_state& state, const local_response& response) {
+    http::response_serializer<http::string_body> serializer(response);
+    co_return co_await write_remaining(state, serializer);
 }
 
 // Decides whether the connection stays open after the response, and sets the Connection and Keep-Alive
@@ -77,27 +94,22 @@
         this->message.body().data = nullptr;
         this->message.body().more = true;
         this->serializer = std::make_unique<http::response_serializer<http::buffer_body>>(this->message);
-        error_code error;
-        co_await http::async_write_header(*this->state.socket, *this->serializer, capture_error(error));
-        this->state.write_error = error;
-        co_return !error;
+        const socket_timeout timeout(this->state.core, this->state.socket, write_timeout(this->state));
+        co_await http::async_write_header(*this->state.socket, *this->serializer,
+                                          capture_error(this->state.write_error));
+        co_return !this->state.write_error;
     }
 
     asio::awaitable<bool> write(const char* data, std::size_t size) {
         this->message.body().data = const_cast<char*>(data);
         this->message.body().size = size;
         this->message.body().more = true;
-        const socket_timeout timeout(this->state.core, this->state.socket,
-                                     current_caller_limits(this->state.core).idle_timeout);
-        error_code error;
-        co_await http::async_write(*this->state.socket, *this->serializer, capture_error(error));
-        this->state.write_error = error == http::error::need_buffer ? error_code() : error;
-        co_return !this->state.write_error;
+        return write_remaining(this->state, *this->serializer);
     }
 
     asio::awaitable<void> finish(bool complete) {
-        error_code error;
         if (!complete) {
+            error_code error;
             // The missing last chunk, or the missing bytes of its Content-Length, show that the response is
             // truncated. A response without both would look complete, so the connection is reset.
             this->state.keep_alive = false;
@@ -110,8 +122,7 @@
         this->message.body().data = nullptr;
         this->message.body().size = 0;
         this->message.body().more = false;
-        co_await http::async_write(*this->state.socket, *this->serializer, capture_error(error));
-        this->state.write_error = error;
+        co_await write_remaining(this->state, *this->serializer);
     }
 };
 
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -224,6 +224,7 @@
 asio::awaitable<bool> run_request(caller_connection_state& state, request_parser& parser,
                                   const caller_request& request, const request_plan& plan) {
     node_core& core = state.core;
+    state.request_deadline = plan.deadline;
     auto cancellation = std::make_shared<request_cancellation>();
     const scoped_deadline timeout(core.deadlines, plan.deadline,
                                   [cancellation = cancellation.get()] { cancel_on_timeout(*cancellation); });
@@ -312,6 +313,7 @@
     caller_request request;
     // The request was waiting in the socket for about as long as the event loop is delayed.
     request.received_at = now_of(state.core) - state.core.loop_delay;
+    state.request_deadline = request.received_at;
     const bool has_head = co_await read_head(state, parser, request);
     if (!has_head) {
         co_return false;
