Announce the close of a connection whose request is still being read

What callers saw: a response said that the connection stays open, and the caller's next request on it was read and got no answer.

Cause: a target may answer before it has read a long body. The header of a large response, which is passed on in parts, was written before the VM knew whether the rest of the body would arrive, and announced a kept connection.

Evidence: 'node slow caller/a response before the end of an upload announces the close' failed before: the header of the response was 'Keep-Alive: timeout=1' without 'Connection: close'.

Fix: every response header is decided from whether the body has been read to its end at that moment.

--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -49,7 +49,7 @@
 // headers.
 template <class Response> void set_connection_fields(caller_connection_state& state, Response& response) {
     // Shutdown may have begun since the request was read.
-    state.keep_alive = state.keep_alive && is_accepting(state.core);
+    state.keep_alive = state.keep_alive && state.has_read_body && is_accepting(state.core);
     response.keep_alive(state.keep_alive);
     if (state.keep_alive) {
         const milliseconds idle = current_idle_policy(state.core).idle_timeout;
--- a/packages/proxy/caller_responses.h
+++ b/packages/proxy/caller_responses.h
@@ -25,6 +25,9 @@
     bool keep_alive = true;
     // How long the connection may stay idle, as announced in the last response; unset before the first one.
     std::optional<milliseconds> idle_timeout;
+    // Whether the body of the current request has been read to its end. Otherwise the connection cannot be
+    // used again after the response.
+    bool has_read_body = true;
     // Until when the caller waits for the response to the current request.
     instant request_deadline;
     // Why the last response was not written completely; no error if it was.
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -209,6 +209,7 @@
             cancellation = std::move(cancellation)](std::string& chunk) -> asio::awaitable<bool> {
         chunk.clear();
         const error_code error = co_await read_body(state, parser, chunk, 1);
+        state.has_read_body = parser.is_done();
         if (error == http::error::body_limit) {
             cancellation->body_too_large = true;
         } else if (error) {
@@ -239,7 +240,6 @@
     cancellation->finished = true;
     error_code ignored;
     state.socket->cancel(ignored);
-    state.keep_alive = state.keep_alive && (!request.has_unbuffered_body || parser.is_done());
     bool ok = false;
     request_summary summary;
     if (auto* response = std::get_if<target_response>(&result)) {
@@ -342,6 +342,7 @@
         co_return false;
     }
     request.has_unbuffered_body = !parser.is_done();
+    state.has_read_body = parser.is_done();
     if (!request.has_unbuffered_body && has_disconnected(*state.socket)) {
         // On a busy VM, the request may have waited in the socket for longer than its caller.
         request_summary summary;
@@ -352,7 +353,6 @@
     const auto plan = plan_request(state.core, request);
     if (!plan) {
         const local_reply& reply = plan.error();
-        state.keep_alive = state.keep_alive && !request.has_unbuffered_body;
         const bool ok = co_await write_local_reply(state, reply, request.head.version(), request.id);
         request_summary summary = summarize_reply(reply);
         check_response_written(state, summary);
