Pass on a response while its caller still waits to send the body

What callers saw: a target answered an upload before its end, and the answer came only once the caller had sent more of the body; a caller that waits for it got none, also beyond the route's timeout.

Cause: the attempt ended only after the coroutine that passes the body on, which waited for the caller. Closing the target's connection does not end that wait.

Evidence: 'node slow caller/a response before the end of an upload is not withheld' failed before (expected 'HTTP/1.1 400', actual '' after 2 s).

Fix: the attempt stops the pending read of the caller's body when the response has ended.

--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -205,20 +205,26 @@
 // disconnect watch starts at the end of the body, because a disconnect before it shows as a failed read.
 body_source make_remaining_body_source(caller_connection_state& state, request_parser& parser,
                                        cancellation_ptr cancellation) {
-    return [&state, &parser,
-            cancellation = std::move(cancellation)](std::string& chunk) -> asio::awaitable<bool> {
+    body_source source;
+    source.read = [&state, &parser,
+                   cancellation = std::move(cancellation)](std::string& chunk) -> asio::awaitable<bool> {
         chunk.clear();
         const error_code error = co_await read_body(state, parser, chunk, 1);
         state.has_read_body = parser.is_done();
         if (error == http::error::body_limit) {
             cancellation->body_too_large = true;
-        } else if (error) {
+        } else if (error && error != asio::error::operation_aborted) {
             cancellation->caller_left = true;
-        } else if (chunk.empty()) {
+        } else if (!error && chunk.empty()) {
             start_disconnect_watch(state, cancellation);
         }
         co_return !error;
     };
+    source.stop = [&state] {
+        error_code ignored;
+        state.socket->cancel(ignored);
+    };
+    return source;
 }
 
 // Runs a planned request and writes its response. Returns false if the connection must be closed.
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -64,7 +64,7 @@
     body.more = static_cast<bool>(request.remaining_body);
     bool ok = co_await write_chunk(socket, writer);
     while (ok && body.more) {
-        ok = co_await request.remaining_body(chunk);
+        ok = co_await request.remaining_body.read(chunk);
         writer.caller_failed = !ok;
         body.data = chunk.data();
         body.size = chunk.size();
@@ -187,6 +187,10 @@
             this->reusable = false;
             error_code ignored;
             this->connection.socket.close(ignored);
+            if (this->request.remaining_body) {
+                // The caller may wait for the response before it sends the rest.
+                this->request.remaining_body.stop();
+            }
             while (!writer->done) {
                 co_await writer_done->async_wait(capture_error(ignored));
             }
--- a/packages/proxy/target_attempt.h
+++ b/packages/proxy/target_attempt.h
@@ -12,10 +12,17 @@
 
 namespace cassiaspan {
 
-// Reads the next chunk of the part of a caller's body that was not buffered, and stores it in `chunk`. An
-// empty chunk is the end of the body. Returns false if the caller's connection failed; the request is then
-// cancelled as one whose caller left.
-using body_source = std::function<asio::awaitable<bool>(std::string& chunk)>;
+// The part of a caller's body that was not buffered.
+struct body_source {
+    // Reads the next chunk and stores it in `chunk`. An empty chunk is the end of the body. Returns false if
+    // the read was stopped or the caller's connection failed; the request is then cancelled as one whose
+    // caller left.
+    std::function<asio::awaitable<bool>(std::string& chunk)> read;
+    // Makes the pending read, if any, return false.
+    std::function<void()> stop;
+
+    explicit operator bool() const { return static_cast<bool>(this->read); }
+};
 
 // Receives a response that is too large to be buffered, in chunks. `begin` and `write` return false if
 // writing to the caller failed.
