--- a/packages/proxy/node_metrics.cpp
+++ b/packages/proxy/node_metrics.cpp
@@ -33,6 +33,7 @@
 std::string render(const node_metrics& metrics) {
     std::string text;
     append_by_outcome(text, "requests", metrics.requests_by_outcome);
+    append_by_outcome(text, "unanswered_requests", metrics.unanswered_by_outcome);
     append_by_outcome(text, "attempts", metrics.attempts_by_outcome);
     append_by_outcome(text, "relayed", metrics.relayed_by_outcome);
     append_by_outcome(text, "relay_attempts", metrics.relay_attempts_by_outcome);
