Let VMs pull a store that is longer than 1 MiB

What callers saw: nothing is served by a VM that cannot read the store itself and starts, or lags far behind, while the items of the store together are longer than 1 MiB and 64 KiB. One odd entry of the largest size that the store accepts (1 MiB), beside the entries of a few hundred targets, is enough. In fleets of more than 12 VMs, all VMs but the readers of each zone depend on their peers for this. The VM asks again every 100 ms, each time for the whole 1 MiB.

Cause: a reply with the changes of the store had the limit of a message that carries one value, so the receiver ended the session at each attempt.

Why this works: the limit of a reply (64 MiB) is set by the node that asks, apart from that of other messages between VMs, which stays.

--- a/packages/h2/h2_session.cpp
+++ b/packages/h2/h2_session.cpp
@@ -37,7 +37,7 @@
                        const std::uint8_t* data, std::size_t size, void* owner) {
         auto* self = static_cast<h2_session*>(owner);
         std::string& body = self->streams[stream].incoming.body;
-        if (body.size() + size > max_peer_message_bytes) {
+        if (body.size() + size > self->max_message_bytes) {
             return NGHTTP2_ERR_CALLBACK_FAILURE;
         }
         body.append(reinterpret_cast<const char*>(data), size);
@@ -76,8 +76,9 @@
         return static_cast<ssize_t>(count);
     }
 
-    static std::unique_ptr<h2_session> make(message_handler on_message, bool server) {
-        std::unique_ptr<h2_session> self(new h2_session(std::move(on_message)));
+    static std::unique_ptr<h2_session> make(message_handler on_message, bool server,
+                                            std::size_t max_message_bytes) {
+        std::unique_ptr<h2_session> self(new h2_session(std::move(on_message), max_message_bytes));
         self->is_server = server;
         nghttp2_session_callbacks* hooks = nullptr;
         nghttp2_session_callbacks_new(&hooks);
@@ -102,11 +103,12 @@
 };
 
 std::unique_ptr<h2_session> h2_session::make_server(message_handler on_message) {
-    return callbacks::make(std::move(on_message), true);
+    return callbacks::make(std::move(on_message), true, max_peer_message_bytes);
 }
 
-std::unique_ptr<h2_session> h2_session::make_client(message_handler on_message) {
-    return callbacks::make(std::move(on_message), false);
+std::unique_ptr<h2_session> h2_session::make_client(message_handler on_message,
+                                                    std::size_t max_message_bytes) {
+    return callbacks::make(std::move(on_message), false, max_message_bytes);
 }
 
 h2_session::~h2_session() {
--- a/packages/h2/h2_session.h
+++ b/packages/h2/h2_session.h
@@ -12,7 +12,7 @@
 
 namespace cassiaspan {
 
-// Largest message between VMs, in bytes: a value of the store and its wrapping.
+// Default limit of a message between VMs, in bytes: a value of the store and its wrapping.
 constexpr std::size_t max_peer_message_bytes = (1U << 20U) + (64U << 10U);
 
 // A message with its authentication code.
@@ -29,9 +29,11 @@
     // that asked.
     using message_handler = std::function<void(std::int32_t stream, peer_message message)>;
 
-    // Starts a session for the side that accepted or opened the connection.
+    // Starts a session for the side that accepted or opened the connection. A message of more bytes than
+    // `max_message_bytes` ends the session.
     static std::unique_ptr<h2_session> make_server(message_handler on_message);
-    static std::unique_ptr<h2_session> make_client(message_handler on_message);
+    static std::unique_ptr<h2_session> make_client(message_handler on_message,
+                                                   std::size_t max_message_bytes = max_peer_message_bytes);
     ~h2_session();
     h2_session(const h2_session&) = delete;
     h2_session& operator=(const h2_session&) = delete;
@@ -55,9 +57,11 @@
     };
     struct callbacks;
 
-    explicit h2_session(message_handler handler) : on_message(std::move(handler)) {}
+    h2_session(message_handler handler, std::size_t max_message_bytes_in)
+        : on_message(std::move(handler)), max_message_bytes(max_message_bytes_in) {}
 
     message_handler on_message;
+    std::size_t max_message_bytes;
     nghttp2_session* session = nullptr;
     bool is_server = false;
     std::map<std::int32_t, stream_state> streams;
--- a/packages/proxy/store_sync.cpp
+++ b/packages/proxy/store_sync.cpp
@@ -25,6 +25,8 @@
 // may_start_pull(). On a full link, a round trip may take some seconds.
 constexpr milliseconds pull_timeout{10'000};
 constexpr milliseconds peer_socket_timeout{10'000};
+// Limit of a reply. It holds all items of the store if the requesting VM has none of them.
+constexpr std::size_t max_reply_bytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
 // An incoming connection is closed after this time, idle or not. A peer opens only a few streams on one.
 constexpr milliseconds connection_time_limit{20'000};
@@ -179,7 +181,8 @@
     set_tcp_options(*pull.socket, peer_socket_timeout);
     pull.is_connected = true;
     const auto session = h2_session::make_client(
-        [&reply](std::int32_t /*stream*/, peer_message message) { reply = std::move(message.body); });
+        [&reply](std::int32_t /*stream*/, peer_message message) { reply = std::move(message.body); },
+        max_reply_bytes);
     bool is_ok = session->submit_request({changes_code, serialize_changes_request(core)}) >= 0;
     while (is_ok && !reply) {
         pull.last_progress = now_of(core);
