Apply the other changes of the store when one of them throws

What callers saw: nothing yet; no item is known that makes decoding throw.

Cause: the mirror takes all changes of a read before they are applied. An exception about one of them ended the loop and restarted the task, which then continues from the new position: the changes after the failing one, such as a configuration or targets that drain, never took effect in the process.

Why this works: an exception ends only the change that it is about, and is logged as an internal error with its reason.

--- a/packages/proxy/node_core.cpp
+++ b/packages/proxy/node_core.cpp
@@ -160,6 +160,15 @@
     return known_until;
 }
 
+void apply_store_change(node_core& core, const store_change& change) {
+    const auto decoded = core.platform.decode(change);
+    if (!decoded) {
+        log_findings(core, change, decoded.error());
+        return;
+    }
+    std::visit(change_applier{core, change}, *decoded);
+}
+
 } // namespace
 
 void merge_store_read(node_core& core, const store_read& read) {
@@ -213,12 +222,12 @@
 
 void apply_store_changes(node_core& core, const std::vector<store_change>& changes) {
     for (const store_change& change : changes) {
-        const auto decoded = core.platform.decode(change);
-        if (!decoded) {
-            log_findings(core, change, decoded.error());
-            continue;
+        try {
+            apply_store_change(core, change);
+        } catch (...) {
+            // The mirror contains the changes after this one already, so that they are not read again.
+            log_exception(core, "store change", std::current_exception());
         }
-        std::visit(change_applier{core, change}, *decoded);
     }
 }
 
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -169,7 +169,7 @@
 }
 
 // Decodes changes that were merged into the mirror and applies them to the state. Logs changes that cannot be
-// decoded and skips them.
+// decoded or applied, also because of an exception, and skips them.
 void apply_store_changes(node_core& core, const std::vector<store_change>& changes);
 
 // Changes of the store, or all of its items, as read from the store or from the mirror of a peer.
