Take no earlier refusal for the response to a request with the same id

What callers saw: nothing yet; the platform's callers give each attempt an id of its own. A caller that sends an id again, or none, could be told "not run" about a request that a target ran, or the request ran at a second target.

Cause: a response belongs to the request whose id it has. On a kept connection on which the target has refused a request with this id, a second copy of that refusal has it as well; responses to requests without id are all alike.

Why this works: a connection remembers the ids that were refused on it, up to 256, then it is closed; a request with one of them uses another connection. A request without id uses a new connection, which is closed after its response. A refusal that has the right id can then answer only this request.

--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -409,7 +409,8 @@
     ++target->in_flight;
     const double load = estimate_load(*target, started_at);
     std::unique_ptr<target_connection> connection = take_idle_connection(
-        *target, started_at, request.is_idempotent ? max_idle_idempotent : max_idle_not_idempotent);
+        *target, started_at, request.is_idempotent ? max_idle_idempotent : max_idle_not_idempotent,
+        request.id);
     if (!connection && target->open_connections < connection_limit(core, *target)) {
         connection = co_await open_connection(core, target, cancellation);
     }
@@ -419,7 +420,10 @@
         cancellation->active_socket = &connection->socket;
         result = co_await exchange.run();
         cancellation->active_socket = nullptr;
-        if (exchange.is_reusable()) {
+        if (!may_have_run(result.outcome)) {
+            record_refusal(*connection, request.id);
+        }
+        if (exchange.is_reusable() && !request.id.empty()) {
             pool_connection(*target, std::move(connection), now_of(core));
         }
     } else {
--- a/packages/proxy/target_connections.cpp
+++ b/packages/proxy/target_connections.cpp
@@ -1,5 +1,7 @@
 #include "target_connections.h"
 
+#include "stable_hash.h"
+
 #include <algorithm>
 #include <sys/socket.h>
 
@@ -19,6 +21,8 @@
 constexpr milliseconds default_connect_timeout{500};
 constexpr milliseconds min_connect_timeout{200};
 constexpr int connect_timeout_round_trips = 5;
+// A connection is closed after this many refused requests, so that it need not remember more ids.
+constexpr std::size_t max_refusals = 256;
 // Lower bound of the connections that this VM may have to one target.
 constexpr std::size_t min_connections = 4;
 
@@ -44,15 +48,21 @@
                : connection.keep_alive_timeout / keep_alive_divisor;
 }
 
+// Returns whether a second copy of an earlier refusal could be taken for the response to this request.
+bool has_refused(const target_connection& connection, std::string_view request_id) {
+    const auto& ids = connection.refused_ids;
+    return std::find(ids.begin(), ids.end(), stable_hash(request_id)) != ids.end();
+}
+
 } // namespace
 
 std::unique_ptr<target_connection> take_idle_connection(target_record& target, instant now,
-                                                        milliseconds max_idle) {
-    while (!target.idle_connections.empty()) {
+                                                        milliseconds max_idle, std::string_view request_id) {
+    while (!request_id.empty() && !target.idle_connections.empty()) {
         std::unique_ptr<target_connection> connection = std::move(target.idle_connections.back());
         target.idle_connections.pop_back();
         const auto idle = now - connection->last_used;
-        if (idle <= std::min(max_idle, max_idle_time(*connection)) &&
+        if (idle <= std::min(max_idle, max_idle_time(*connection)) && !has_refused(*connection, request_id) &&
             has_no_pending_input(connection->socket)) {
             return connection;
         }
@@ -92,7 +102,15 @@
     target.open_connections -= target.open_connections > 0 ? 1 : 0;
 }
 
+void record_refusal(target_connection& connection, std::string_view request_id) {
+    connection.refused_ids.push_back(stable_hash(request_id));
+}
+
 void pool_connection(target_record& target, std::unique_ptr<target_connection> connection, instant now) {
+    if (connection->refused_ids.size() >= max_refusals) {
+        record_connection_closed(target);
+        return;
+    }
     connection->last_used = now;
     connection->buffer.shrink_to_fit();
     target.idle_connections.push_back(std::move(connection));
--- a/packages/proxy/target_table.h
+++ b/packages/proxy/target_table.h
@@ -29,6 +29,8 @@
     // How long the target keeps the connection open while it is idle, from its Keep-Alive header; 0 if
     // unknown.
     milliseconds keep_alive_timeout{};
+    // Hashes of the ids of requests that the target has refused on the connection.
+    std::vector<std::uint64_t> refused_ids;
 };
 
 // The load that a target last reported in a response.
