Let callers receive refusals of requests that cannot be read

What callers saw: instead of a 400, 413 or 431, the connection was reset.

Cause: after such a reply the socket was closed while bytes of the request waited unread, which resets the connection and discards what the caller has not received yet.

Evidence: 'node refusal without reset/of a malformed method' and '/of a chunk that is too long' failed before (expected 'End of file', actual 'Connection reset by peer'); '/of a body that is too long' passed before as well.

Fix: these replies end the connection as all others do: the sending side is shut down, and the caller's bytes are discarded for up to 500 ms. A reply that could not be written is logged as such.

--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -273,11 +273,9 @@
     co_return ok;
 }
 
-// Reads the request header. Replies to a malformed or too large request with a 4xx status, and logs the reply
-// as the end of `request`, whose header is set as far as it was read. Returns false if there is no request to
-// run.
-asio::awaitable<bool> read_head(caller_connection_state& state, request_parser& parser,
-                                caller_request& request) {
+// Reads the request header, as far as possible.
+asio::awaitable<error_code> read_head(caller_connection_state& state, request_parser& parser,
+                                      caller_request& request) {
     const caller_limits limits = current_caller_limits(state.core);
     parser.header_limit(static_cast<std::uint32_t>(
         std::min<std::size_t>(limits.max_header_bytes, std::numeric_limits<std::uint32_t>::max())));
@@ -288,29 +286,38 @@
         co_await http::async_read_header(*state.socket, state.buffer, parser, capture_error(error));
     }
     request.head = parser.get().base();
-    if (!error) {
-        co_return true;
-    }
-    unsigned status = 0;
+    co_return error;
+}
+
+// Returns the 4xx reply to a request whose header could not be read, or nullopt if the connection failed.
+std::optional<local_reply> make_malformed_reply(const error_code& error) {
+    unsigned status = 400;
     if (error == http::error::header_limit) {
         status = 431;
     } else if (error == http::error::body_limit) {
         status = 413;
-    } else if (error.category() == http::make_error_code(http::error::bad_method).category() &&
-               error != http::error::end_of_stream && error != http::error::partial_message) {
-        status = 400;
+    } else if (error.category() != http::make_error_code(http::error::bad_method).category() ||
+               error == http::error::end_of_stream || error == http::error::partial_message) {
+        return std::nullopt;
     }
-    if (status != 0) {
-        state.keep_alive = false;
-        const local_reply reply{status, "malformed_request", {}};
-        co_await write_local_reply(state, reply, 11, std::string());
-        parse_caller_headers(state.core, request);
-        log_request(state.core, request, nullptr, summarize_reply(reply, error.message()));
-    } else {
-        parse_caller_headers(state.core, request);
-        log_request(state.core, request, nullptr, summarize_connection_error("header_not_read", error));
+    return local_reply{status, "malformed_request", {}};
+}
+
+// Ends a request that could not be read, with `reply` if it is set. `outcome` is what failed. Returns false
+// if the connection failed.
+asio::awaitable<bool> end_unread_request(caller_connection_state& state, const caller_request& request,
+                                         unsigned version, const std::optional<local_reply>& reply,
+                                         const error_code& error, const char* outcome) {
+    if (!reply) {
+        log_request(state.core, request, nullptr, summarize_connection_error(outcome, error));
+        co_return false;
     }
-    co_return false;
+    state.keep_alive = false;
+    const bool ok = co_await write_local_reply(state, *reply, version, request.id);
+    request_summary summary = summarize_reply(*reply, error.message());
+    check_response_written(state, summary);
+    log_request(state.core, request, nullptr, summary);
+    co_return ok;
 }
 
 // Serves one request. Returns false if the connection must be closed.
@@ -320,9 +327,10 @@
     // The request was waiting in the socket for about as long as the event loop is delayed.
     request.received_at = now_of(state.core) - state.core.loop_delay;
     state.request_deadline = request.received_at;
-    const bool has_head = co_await read_head(state, parser, request);
-    if (!has_head) {
-        co_return false;
+    if (const error_code error = co_await read_head(state, parser, request)) {
+        parse_caller_headers(state.core, request);
+        co_return co_await end_unread_request(state, request, 11, make_malformed_reply(error), error,
+                                              "header_not_read");
     }
     state.keep_alive = parser.get().keep_alive() && is_accepting(state.core);
     if (boost::beast::iequals(request.head[http::field::expect], "100-continue")) {
@@ -336,16 +344,12 @@
     const error_code body_error = co_await read_body(state, parser, request.body, max_buffered_body_bytes);
     parse_caller_headers(state.core, request);
     if (body_error) {
+        std::optional<local_reply> reply;
         if (body_error == http::error::body_limit) {
-            state.keep_alive = false;
-            co_await write_local_reply(state, body_too_large_reply, request.head.version(), request.id);
-            log_request(state.core, request, nullptr,
-                        summarize_reply(body_too_large_reply, body_error.message()));
-        } else {
-            log_request(state.core, request, nullptr,
-                        summarize_connection_error("body_not_read", body_error));
+            reply = body_too_large_reply;
         }
-        co_return false;
+        co_return co_await end_unread_request(state, request, request.head.version(), reply, body_error,
+                                              "body_not_read");
     }
     request.has_unbuffered_body = !parser.is_done();
     state.has_read_body = parser.is_done();
