Answer a request whose header does not arrive in time with 408

What callers saw: the connection was closed without an answer, which promises nothing; the caller cannot tell whether its request has been executed.

Evidence: 'node unreadable request/a header that is not sent in time' failed before (expected 'HTTP/1.1 408', actual '').

--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -289,13 +289,16 @@
     co_return error;
 }
 
-// Returns the 4xx reply to a request that could not be read, or nullopt if the connection failed.
+// Returns the 4xx reply to a request that could not be read, or was not sent in time; nullopt if the
+// connection failed.
 std::optional<local_reply> make_malformed_reply(const error_code& error) {
     unsigned status = 400;
     if (error == http::error::header_limit) {
         status = 431;
     } else if (error == http::error::body_limit) {
         status = 413;
+    } else if (error == asio::error::operation_aborted) {
+        return local_reply{408, "header_timeout", {}};
     } else if (error.category() != http::make_error_code(http::error::bad_method).category() ||
                error == http::error::end_of_stream || error == http::error::partial_message) {
         return std::nullopt;
