Treat targets as draining that say so in a response

What callers see: a target that is leaving says so in all its responses (Server-Leaving: 1), but VMs sent it requests until the store said the same, or until it was gone. Some targets never write that they are draining, and a VM may lack the store's change for seconds: requests that still run when the target exits are lost.

Cause: the header was not read. Only the entry in the store made a target draining.

Fix: every response that is read from a target is checked, also one to another request, a refusal, one without seal and one that is truncated later; only a 421 is not, as another target sent it. From then on the VM sends that incarnation no new requests and closes its idle connections to it. The knowledge is in the record of the incarnation, which an entry of the store does not change. The records of removed and replaced incarnations are kept for a minute and taken up again if their entry comes back, so that an entry that expired, or an old one of a restored store, clears nothing; a new start has a new record. If no target of the service may be used otherwise, a leaving one is, for half of drain-ms (read from the bounds, reloadable): a refusal would serve callers worse, and the other half is left for these requests to finish. The header is passed on unchanged, like the others of a target's response. VMs do not tell each other: each is told by the first response it gets.

Evidence: without the check of the responses, 12 of the 15 tests of "leaving target" fail, such as FAILED leaving target/in a response leaving_target_test.cpp:53 equality assertion failed; Expected: 1, Actual: 0 FAILED leaving target and store/ready entry leaving_target_test.cpp:108 equality assertion failed; Expected: 0, Actual: 40 Without the records of former incarnations "removed entry" fails (expected status 503, actual 200). With the fix all 15 pass.

--- a/packages/proxy/header_names.h
+++ b/packages/proxy/header_names.h
@@ -25,6 +25,8 @@
     std::string not_executed;
     // How much longer the responding target is cold, in milliseconds.
     std::string cold_ms;
+    // "1" in the responses of a target that is leaving.
+    std::string leaving;
     auto operator<=>(const header_names&) const = default;
 };
 
--- a/packages/proxy/node_settings.cpp
+++ b/packages/proxy/node_settings.cpp
@@ -9,6 +9,7 @@
     settings.stop_grace = loaded.stop_grace;
     settings.max_lookup_ttl = loaded.max_lookup_ttl;
     settings.target_heartbeat = loaded.target_heartbeat;
+    settings.target_drain_time = loaded.target_drain_time;
     settings.link_mbps = loaded.link_mbps;
     settings.max_open_files = loaded.max_open_files;
     return settings != loaded;
--- a/packages/proxy/node_settings.h
+++ b/packages/proxy/node_settings.h
@@ -38,6 +38,9 @@
     // Interval at which live targets write their discovery entries.
     milliseconds target_heartbeat{1500};
 
+    // How long a target serves new requests after it has announced that it is leaving.
+    milliseconds target_drain_time{2500};
+
     // Retry budget of each service.
     retry_budget_limits retries;
     // Limits how fast requests move between regions.
@@ -56,8 +59,8 @@
 };
 
 // Takes over the settings that can change while the process runs: seeds, retry budget, shift limits, stop
-// grace period, lookup TTL, target heartbeat, link bandwidth and the limit of open files. Returns whether
-// `loaded` has other changes, which need a restart.
+// grace period, lookup TTL, target heartbeat and drain time, link bandwidth and the limit of open files.
+// Returns whether `loaded` has other changes, which need a restart.
 bool apply_reloaded_settings(node_settings& settings, const node_settings& loaded);
 
 } // namespace cassiaspan
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -125,6 +125,24 @@
     }
 }
 
+// Records what the target announces about itself in any of its responses, also in one to another request.
+void record_announcements(node_core& core, target_record& target, const http::response_header<>& head) {
+    // Another target made this response: the address has been assigned again.
+    if (head.result_int() == 421) {
+        return;
+    }
+    const instant now = now_of(core);
+    if (head[core.platform.headers().leaving] == "1" && !is_leaving(target.availability)) {
+        record_leaving(target.availability, now);
+        drop_idle_connections(target);
+        core.log.write(now, node_event::target_changed,
+                       log_fields()
+                           .add("target", target.info.id)
+                           .add("service", target.info.service)
+                           .add("state", "leaving"));
+    }
+}
+
 // Returns whether the response belongs to the request with this id.
 bool echoes_request_id(const header_names& names, const http::response_header<>& head,
                        const std::string& id) {
@@ -212,6 +230,7 @@
                 result.detail = error.message();
                 co_return;
             }
+            record_announcements(this->core, this->target, parser.get().base());
             if (parser.get().result_int() / 100 == 1) {
                 continue;
             }
@@ -419,7 +438,8 @@
         cancellation->active_socket = &connection->socket;
         result = co_await exchange.run();
         cancellation->active_socket = nullptr;
-        if (exchange.is_reusable()) {
+        const bool may_be_used_again = core.targets.is_current(*target) && !is_leaving(target->availability);
+        if (exchange.is_reusable() && may_be_used_again) {
             pool_connection(*target, std::move(connection), now_of(core));
         }
     } else {
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -24,13 +24,40 @@
 constexpr double min_service_time_ratio = 0.5;
 constexpr double max_service_time_ratio = 8;
 
-// Returns whether the target accepts new requests and its region is allowed by the route and the workspace.
-bool is_eligible(const node_core& core, const request_plan& plan, const target_record& target, instant now) {
+// Returns whether the target accepts new requests, as far as it has not announced that it is leaving.
+bool is_usable(const node_core& core, const target_record& target, instant now) {
+    return !target.info.draining && !(target.removal_due_at && *target.removal_due_at <= now) &&
+           core.evacuated_zones.count(target.info.availability_zone) == 0 &&
+           !is_backing_off(target.health, now);
+}
+
+// Returns whether the target is leaving and may be used if no other target can be.
+bool is_last_resort(const node_core& core, const target_record& target, instant now) {
+    return is_usable(core, target, now) &&
+           may_use_while_leaving(target.availability, core.settings.target_drain_time, now);
+}
+
+// Returns whether the route and the workspace allow the target's region.
+bool is_allowed(const request_plan& plan, const target_record& target) {
     const std::vector<std::string> unrestricted;
     const auto& workspace_regions =
         plan.workspace != nullptr ? plan.workspace->allowed_regions : unrestricted;
-    return accepts_new_requests(core, target, now) &&
-           is_region_allowed(plan.route->allowed_regions, workspace_regions, target.info.region);
+    return is_region_allowed(plan.route->allowed_regions, workspace_regions, target.info.region);
+}
+
+// Returns the targets of the plan's service that are allowed, not among `tried`, and accepted by `accepts`.
+std::vector<target_ptr> find_eligible(const node_core& core, const request_plan& plan,
+                                      const std::vector<target_ptr>& tried,
+                                      bool (*accepts)(const node_core&, const target_record&, instant),
+                                      instant now) {
+    std::vector<target_ptr> eligible;
+    for (const target_ptr& target : core.targets.find_by_service(plan.service)) {
+        if (accepts(core, *target, now) && is_allowed(plan, *target) &&
+            std::find(tried.begin(), tried.end(), target) == tried.end()) {
+            eligible.push_back(target);
+        }
+    }
+    return eligible;
 }
 
 bool is_cold(const target_record& target, instant now) {
@@ -103,9 +130,7 @@
 } // namespace
 
 bool accepts_new_requests(const node_core& core, const target_record& target, instant now) {
-    return !target.info.draining && !(target.removal_due_at && *target.removal_due_at <= now) &&
-           core.evacuated_zones.count(target.info.availability_zone) == 0 &&
-           !is_backing_off(target.health, now);
+    return is_usable(core, target, now) && !is_leaving(target.availability);
 }
 
 target_selection select_target(node_core& core, const request_plan& plan,
@@ -113,19 +138,14 @@
     const instant now = now_of(core);
     const service_stats& stats = get_service_stats(core, plan.service);
     const service_times expected = expected_service_times(stats);
-    std::vector<target_ptr> targets;
-    std::vector<placement_candidate> candidates;
-    bool any_eligible = false;
-    for (const target_ptr& target : core.targets.find_by_service(plan.service)) {
-        if (!is_eligible(core, plan, *target, now) ||
-            std::find(tried.begin(), tried.end(), target) != tried.end()) {
-            continue;
-        }
-        any_eligible = true;
-        if (pacing_allows(core, plan, *target, now)) {
-            targets.push_back(target);
-        }
+    std::vector<target_ptr> targets = find_eligible(core, plan, tried, accepts_new_requests, now);
+    if (targets.empty()) {
+        targets = find_eligible(core, plan, tried, is_last_resort, now);
     }
+    const bool any_eligible = !targets.empty();
+    std::erase_if(targets,
+                  [&](const target_ptr& target) { return !pacing_allows(core, plan, *target, now); });
+    std::vector<placement_candidate> candidates;
     const std::string& own_region = core.settings.region;
     const std::string& key_region =
         plan.affinity_hash ? region_of_key(stats.shares, own_region, *plan.affinity_hash) : own_region;
--- a/packages/proxy/target_selection.h
+++ b/packages/proxy/target_selection.h
@@ -29,10 +29,11 @@
 constexpr milliseconds warm_retention{20'000};
 
 // Returns whether the target may receive new requests, independent of route and workspace: it is not
-// draining, removed, in an evacuated zone, or backing off after failures.
+// draining, leaving, removed, in an evacuated zone, or backing off after failures.
 [[nodiscard]] bool accepts_new_requests(const node_core& core, const target_record& target, instant now);
 
-// Chooses a target that is not among `tried`.
+// Chooses a target that is not among `tried`. If no target may receive new requests, those that have only
+// announced that they are leaving are used for a while (target_availability.h).
 [[nodiscard]] target_selection select_target(node_core& core, const request_plan& plan,
                                              const std::vector<target_ptr>& tried);
 
--- a/packages/proxy/target_table.cpp
+++ b/packages/proxy/target_table.cpp
@@ -12,8 +12,8 @@
 // Load reports of targets that are older than this are less accurate than the in-flight counts of the VMs.
 constexpr milliseconds max_report_age{250};
 
-// How long the last entry of a removed target is kept. Copies that a store is restored from are some seconds
-// old.
+// How long the last entry of a removed target and its record are kept. Copies that a store is restored from
+// are some seconds old.
 constexpr milliseconds removed_entry_retention{60'000};
 
 const std::vector<target_ptr> no_targets;
@@ -66,11 +66,14 @@
     this->outdated_entries.erase(info.id);
     const auto found = this->by_id.find(info.id);
     if (found != this->by_id.end() && is_other_incarnation(found->second->info, info)) {
-        this->erase(info.id);
+        this->erase(info.id, now);
     }
     const auto existing = this->by_id.find(info.id);
     const bool is_new = existing == this->by_id.end();
-    target_ptr target = is_new ? std::make_shared<target_record>() : existing->second;
+    const target_ptr former = is_new ? this->take_former(info) : nullptr;
+    const target_ptr target = !is_new             ? existing->second
+                              : former != nullptr ? former
+                                                  : std::make_shared<target_record>();
     target_info before = target->info;
     before.cold_remaining = info.cold_remaining;
     before.sequence = info.sequence;
@@ -83,7 +86,7 @@
         target->cold_until = std::max(target->cold_until, now + info.cold_remaining);
     }
     if (is_new) {
-        target->first_seen = now;
+        target->first_seen = former != nullptr ? former->first_seen : now;
         this->insert(target);
     }
     return changed ? entry_effect::changed : entry_effect::none;
@@ -123,6 +126,9 @@
     std::erase_if(this->removed_entries, [now](const auto& entry) {
         return now - entry.second.removed_at > removed_entry_retention;
     });
+    std::erase_if(this->former_targets, [now](const former_target& former) {
+        return now - former.erased_at > removed_entry_retention;
+    });
 }
 
 void target_table::apply_outdated_entries(instant now) {
@@ -141,7 +147,7 @@
         }
     }
     for (const std::string& id : expired_ids) {
-        this->erase(id);
+        this->erase(id, now);
     }
 }
 
@@ -151,7 +157,7 @@
     }
 }
 
-void target_table::erase(const std::string& id) {
+void target_table::erase(const std::string& id, instant now) {
     const auto found = this->by_id.find(id);
     const target_ptr target = found->second;
     this->by_id.erase(found);
@@ -159,7 +165,22 @@
     std::vector<target_ptr>& service_targets = this->by_service[target->info.service];
     service_targets.erase(std::remove(service_targets.begin(), service_targets.end(), target),
                           service_targets.end());
-    target->idle_connections.clear();
+    drop_idle_connections(*target);
+    this->former_targets.push_back({target, now});
+}
+
+// Removes the record of the incarnation from the former targets and returns it; null if there is none.
+target_ptr target_table::take_former(const target_info& info) {
+    const auto found = std::find_if(
+        this->former_targets.begin(), this->former_targets.end(), [&info](const former_target& former) {
+            return former.target->info.id == info.id && !is_other_incarnation(former.target->info, info);
+        });
+    if (found == this->former_targets.end()) {
+        return nullptr;
+    }
+    target_ptr target = found->target;
+    this->former_targets.erase(found);
+    return target;
 }
 
 const std::vector<target_ptr>& target_table::find_by_service(const std::string& service) const {
@@ -167,11 +188,21 @@
     return found == this->by_service.end() ? no_targets : found->second;
 }
 
+bool target_table::is_current(const target_record& target) const {
+    const auto found = this->by_id.find(target.info.id);
+    return found != this->by_id.end() && found->second.get() == &target;
+}
+
 target_ptr target_table::find_by_hash(std::uint32_t id_hash_low) const {
     const auto found = this->by_hash.find(id_hash_low);
     return found == this->by_hash.end() ? nullptr : found->second;
 }
 
+void drop_idle_connections(target_record& target) {
+    target.open_connections -= std::min(target.open_connections, target.idle_connections.size());
+    target.idle_connections.clear();
+}
+
 double estimate_load(const target_record& target, instant now) {
     const double counted = static_cast<double>(target.in_flight + target.peers_in_flight);
     if (!target.last_load_report || now - target.last_load_report->reported_at > max_report_age) {
--- a/packages/proxy/target_table.h
+++ b/packages/proxy/target_table.h
@@ -3,6 +3,7 @@
 
 #include "asio_types.h"
 #include "cold_pacing.h"
+#include "target_availability.h"
 #include "target_health.h"
 #include "target_info.h"
 
@@ -46,6 +47,7 @@
     // Hash of the id, equal on all VMs.
     std::uint64_t id_hash = 0;
     target_health health;
+    target_availability availability;
     // When this VM learned of the incarnation.
     instant first_seen;
     // Epoch of the store in which the entry was written.
@@ -84,9 +86,10 @@
 class target_table {
 public:
     // Adds or updates a target from its discovery entry, and cancels its removal. An entry of another
-    // incarnation replaces the record. An outdated entry of a restored store is set aside instead: it takes
-    // effect only if the store still holds it when apply_outdated_entries() is called. `epoch` is the epoch
-    // of the store in which the entry was read.
+    // incarnation replaces the record; one of an incarnation that was removed recently restores its record.
+    // An outdated entry of a restored store is set aside instead: it takes effect only if the store still
+    // holds it when apply_outdated_entries() is called. `epoch` is the epoch of the store in which the entry
+    // was read.
     entry_effect upsert(const target_info& info, instant now, std::uint64_t epoch = 0);
     // Schedules the removal of a target; it stays usable until `due_at`. Has no effect if the target is
     // unknown or its removal is scheduled already. `epoch` is the epoch of the store in which the entry was
@@ -107,6 +110,8 @@
     [[nodiscard]] const std::vector<target_ptr>& find_by_service(const std::string& service) const;
     // Returns the target whose id hash has these low 32 bits, or null.
     [[nodiscard]] target_ptr find_by_hash(std::uint32_t id_hash_low) const;
+    // Returns whether the record is that of a current target, not of a former incarnation.
+    [[nodiscard]] bool is_current(const target_record& target) const;
     // Returns all targets by id.
     [[nodiscard]] const std::map<std::string, target_ptr>& all() const { return this->by_id; }
 
@@ -117,6 +122,11 @@
         std::uint64_t epoch = 0;
         instant removed_at;
     };
+    // The record of an incarnation that was removed or replaced. Its entry may come back.
+    struct former_target {
+        target_ptr target;
+        instant erased_at;
+    };
     // An outdated entry that a restored store contains.
     struct outdated_entry {
         target_info info;
@@ -125,7 +135,8 @@
 
     [[nodiscard]] bool is_outdated(const target_info& info, std::uint64_t epoch) const;
     entry_effect apply(const target_info& info, instant now, std::uint64_t epoch);
-    void erase(const std::string& id);
+    void erase(const std::string& id, instant now);
+    [[nodiscard]] target_ptr take_former(const target_info& info);
     void erase_due_targets(instant now);
     void insert(const target_ptr& target);
 
@@ -137,8 +148,12 @@
     // By target id.
     std::unordered_map<std::string, removed_entry> removed_entries;
     std::unordered_map<std::string, outdated_entry> outdated_entries;
+    std::vector<former_target> former_targets;
 };
 
+// Closes the idle connections to the target.
+void drop_idle_connections(target_record& target);
+
 // Returns the low 32 bits of a hash, which identify targets, services and workspaces in gossip datagrams.
 [[nodiscard]] inline std::uint32_t low_32_bits(std::uint64_t hash) {
     return static_cast<std::uint32_t>(hash);
