Send a target nothing for the time of its Retry-After

What callers see: a target that turns a request away with 503 and Retry-After wants no requests from that VM for so long. VMs went on sending: the target was kept busy with refusals, and callers waited for attempts that could only be refused.

Cause: Retry-After was not read. A refusal by a target did not affect the choice of targets.

Fix: a 503 with a Retry-After in seconds, whole or not, pauses the incarnation of the target for this VM. The pause is apart from the target's health, so that responses to earlier requests cannot end it, and a later, shorter time does not shorten it. Selection and the slots that count for the shares of regions leave the target out. A request whose connection is opened meanwhile is withheld: nothing was sent, so it goes to another target without the retry budget. The VM returns up to a tenth later than asked, at most 0.5 s, so that VMs that were told at the same time do not return together. Dates and other values are ignored, times above 5 minutes are cut. If all targets are paused, callers get a 503 at once, with the shortest remaining time as Retry-After, up to the usual 2 s.

--- a/packages/policy/retry_after.h
+++ b/packages/policy/retry_after.h
@@ -1,8 +1,11 @@
-// The time after which a refused caller may return.
+// Retry-After: what refused callers get, and what targets ask for.
 #pragma once
 
 #include "clock.h"
 
+#include <optional>
+#include <string_view>
+
 namespace cassiaspan {
 
 // Bounds of the Retry-After.
@@ -14,4 +17,8 @@
 // callers do not all return at the same time.
 [[nodiscard]] milliseconds choose_retry_after(milliseconds expected, double jitter);
 
+// Returns the value of a Retry-After header: seconds, which may include a fraction. Longer times are cut to
+// `longest`. Returns nullopt for anything else, such as a date.
+[[nodiscard]] std::optional<milliseconds> parse_retry_after(std::string_view text, milliseconds longest);
+
 } // namespace cassiaspan
--- a/packages/policy/retry_rules.cpp
+++ b/packages/policy/retry_rules.cpp
@@ -10,8 +10,12 @@
 
 } // namespace
 
+bool was_sent(attempt_end end) {
+    return end != attempt_end::unreachable && end != attempt_end::withheld;
+}
+
 bool may_have_run(attempt_end end) {
-    return end != attempt_end::rejected && end != attempt_end::misdirected && end != attempt_end::unreachable;
+    return was_sent(end) && end != attempt_end::rejected && end != attempt_end::misdirected;
 }
 
 bool is_retryable(request_kind kind, attempt_end end) {
@@ -38,6 +42,8 @@
         return "misdirected";
     case attempt_end::unreachable:
         return "unreachable";
+    case attempt_end::withheld:
+        return "withheld";
     case attempt_end::failed:
         return "failed";
     case attempt_end::timed_out:
--- a/packages/policy/retry_rules.h
+++ b/packages/policy/retry_rules.h
@@ -21,6 +21,8 @@
     // The connection could not be opened, or was closed before any byte of the request was accepted, so
     // nothing was sent.
     unreachable,
+    // Nothing was sent, because the target asked for a pause while the connection was being opened.
+    withheld,
     // The connection closed or the response was malformed; the request may have run.
     failed,
     // The route's timeout or the caller's deadline expired; the request may have run or may still be running.
@@ -29,6 +31,9 @@
     caller_left
 };
 
+// Returns whether the request was sent to the target, at least in part.
+[[nodiscard]] bool was_sent(attempt_end end);
+
 // Returns whether the target may have run the request.
 [[nodiscard]] bool may_have_run(attempt_end end);
 
--- a/packages/policy/target_availability.h
+++ b/packages/policy/target_availability.h
@@ -9,10 +9,15 @@
 
 namespace cassiaspan {
 
+// Longest pause that a target may ask for. A faulty value must not take a target out of use for good.
+constexpr milliseconds max_pause{300'000};
+
 // The announcements of one incarnation of a target.
 struct target_availability {
     // When this VM first learned that the target is leaving; unset if it is not.
     std::optional<instant> leaving_since;
+    // The target gets no requests before this time.
+    instant paused_until;
     auto operator<=>(const target_availability&) const = default;
 };
 
@@ -28,4 +33,12 @@
 [[nodiscard]] bool may_use_while_leaving(const target_availability& availability, milliseconds drain_time,
                                          instant now);
 
+// Records that the target wants no requests for `time`. A pause that ends later stays. `jitter`, 0 to 1,
+// extends the pause by up to a tenth, at most 0.5 s, so that VMs that were told at the same time do not
+// return at the same time.
+void record_pause(target_availability& availability, milliseconds time, double jitter, instant now);
+
+// Returns whether the target wants no requests at present.
+[[nodiscard]] bool is_paused(const target_availability& availability, instant now);
+
 } // namespace cassiaspan
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -95,11 +95,21 @@
     return choose_retry_after(expected, jitter(core.random));
 }
 
+// Returns the Retry-After of a request that no target may get: the time until a paused one may be used, or
+// the shortest one. A caller that returned before the end of the pause would be refused again.
+milliseconds retry_after_without_target(node_core& core, const request_plan& plan) {
+    if (const auto pause = time_to_end_of_pause(core, plan)) {
+        std::uniform_real_distribution<double> jitter(1.0, 1.5);
+        return choose_retry_after(*pause, jitter(core.random));
+    }
+    return jittered_retry_after(core, min_retry_after);
+}
+
 // Returns the reply to a request that reached no target. Its Retry-After is the time by which the expected
 // finish exceeds the latency objective.
 local_reply make_refusal(node_core& core, const request_plan& plan, const target_selection& selection) {
     if (selection.no_eligible_target) {
-        return {503, "no_target", jittered_retry_after(core, min_retry_after)};
+        return {503, "no_target", retry_after_without_target(core, plan)};
     }
     const auto time_to_objective =
         std::chrono::duration_cast<milliseconds>(plan.objective_deadline - now_of(core));
@@ -107,11 +117,11 @@
 }
 
 // Returns the reply to a request whose attempts have all failed.
-local_reply make_failure_reply(node_core& core, const forward_progress& progress) {
+local_reply make_failure_reply(node_core& core, const request_plan& plan, const forward_progress& progress) {
     const unsigned status = final_status(progress.last_outcome, progress.may_have_run_at_any);
     local_reply reply{status, to_string(progress.last_outcome), {}};
     if (status == 503) {
-        reply.retry_after = jittered_retry_after(core, min_retry_after);
+        reply.retry_after = retry_after_without_target(core, plan);
     }
     return reply;
 }
@@ -189,7 +199,7 @@
         const target_selection selection = select_target(core, plan, progress.tried);
         if (!selection.target) {
             co_return progress.attempts == 0 ? make_refusal(core, plan, selection)
-                                             : make_failure_reply(core, progress);
+                                             : make_failure_reply(core, plan, progress);
         }
         if (progress.tried.empty()) {
             if (auto refused = consume_workspace_token(core, plan)) {
@@ -203,7 +213,7 @@
             outgoing.target_is_warm = selection.reason == placement_reason::known_warm;
         }
         attempt_result result = co_await run_attempt(core, target, outgoing, cancellation, sink);
-        if (result.outcome != attempt_end::unreachable) {
+        if (was_sent(result.outcome)) {
             ++progress.attempts;
         }
         progress.tried.push_back(target);
@@ -227,15 +237,15 @@
             co_return body_too_large_reply;
         }
         if (is_cancelled(*cancellation)) {
-            co_return make_failure_reply(core, progress);
+            co_return make_failure_reply(core, plan, progress);
         }
-        // Nothing was sent to an unreachable target, so another target is selected without using the retry
-        // budget, as long as few targets have been tried.
-        const bool unsent = result.outcome == attempt_end::unreachable && !request.has_unbuffered_body;
+        // Nothing was sent to the target, so another target is selected without using the retry budget, as
+        // long as few targets have been tried.
+        const bool unsent = !was_sent(result.outcome) && !request.has_unbuffered_body;
         constexpr std::size_t max_tried_without_retry_budget = 4;
         if (!(unsent && progress.tried.size() <= max_tried_without_retry_budget) &&
             !may_retry(core, plan, request, progress)) {
-            co_return make_failure_reply(core, progress);
+            co_return make_failure_reply(core, plan, progress);
         }
     }
 }
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -1,5 +1,6 @@
 #include "target_attempt.h"
 
+#include "retry_after.h"
 #include "target_connections.h"
 
 #include <array>
@@ -141,6 +142,21 @@
                            .add("service", target.info.service)
                            .add("state", "leaving"));
     }
+    const auto retry_after_text = head[http::field::retry_after];
+    const auto pause = parse_retry_after({retry_after_text.data(), retry_after_text.size()}, max_pause);
+    if (head.result_int() == 503 && pause) {
+        const bool was_paused = is_paused(target.availability, now);
+        std::uniform_real_distribution<double> jitter(0, 1);
+        record_pause(target.availability, *pause, jitter(core.random), now);
+        if (!was_paused) {
+            core.log.write(now, node_event::target_changed,
+                           log_fields()
+                               .add("target", target.info.id)
+                               .add("service", target.info.service)
+                               .add("state", "paused")
+                               .add("pause_ms", pause->count()));
+        }
+    }
 }
 
 // Returns whether the response belongs to the request with this id.
@@ -384,8 +400,9 @@
 // Updates the time averages of the service and the health of the target after an attempt.
 void update_estimates(node_core& core, target_record& target, const request_cancellation& cancellation,
                       const std::optional<bool>& target_is_warm, const attempt_result& result) {
-    if (cancellation.caller_left || (cancellation.timed_out && result.outcome == attempt_end::unreachable)) {
-        // The attempt was cancelled: its outcome is no sign of the target's health.
+    if (cancellation.caller_left || (cancellation.timed_out && result.outcome == attempt_end::unreachable) ||
+        result.outcome == attempt_end::withheld) {
+        // This VM ended the attempt: its outcome is no sign of the target's health.
         return;
     }
     const instant now = now_of(core);
@@ -433,7 +450,10 @@
         connection = co_await open_connection(core, target, cancellation);
     }
     const instant sent_at = now_of(core);
-    if (connection && !is_cancelled(*cancellation)) {
+    if (connection && is_paused(target->availability, sent_at)) {
+        result.outcome = attempt_end::withheld;
+        result.detail = "the target asked for a pause while the connection was being opened";
+    } else if (connection && !is_cancelled(*cancellation)) {
         http_exchange exchange(core, *target, *connection, request, sink);
         cancellation->active_socket = &connection->socket;
         result = co_await exchange.run();
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -24,7 +24,7 @@
 constexpr double min_service_time_ratio = 0.5;
 constexpr double max_service_time_ratio = 8;
 
-// Returns whether the target accepts new requests, as far as it has not announced that it is leaving.
+// Returns whether the target accepts new requests, apart from what it has announced in its responses.
 bool is_usable(const node_core& core, const target_record& target, instant now) {
     return !target.info.draining && !(target.removal_due_at && *target.removal_due_at <= now) &&
            core.evacuated_zones.count(target.info.availability_zone) == 0 &&
@@ -33,10 +33,16 @@
 
 // Returns whether the target is leaving and may be used if no other target can be.
 bool is_last_resort(const node_core& core, const target_record& target, instant now) {
-    return is_usable(core, target, now) &&
+    return is_usable(core, target, now) && !is_paused(target.availability, now) &&
            may_use_while_leaving(target.availability, core.settings.target_drain_time, now);
 }
 
+// Returns whether the target accepts new requests again at the end of its pause.
+bool is_only_paused(const node_core& core, const target_record& target, instant now) {
+    return is_usable(core, target, now) && !is_leaving(target.availability) &&
+           is_paused(target.availability, now);
+}
+
 // Returns whether the route and the workspace allow the target's region.
 bool is_allowed(const request_plan& plan, const target_record& target) {
     const std::vector<std::string> unrestricted;
@@ -130,7 +136,8 @@
 } // namespace
 
 bool accepts_new_requests(const node_core& core, const target_record& target, instant now) {
-    return is_usable(core, target, now) && !is_leaving(target.availability);
+    return is_usable(core, target, now) && !is_leaving(target.availability) &&
+           !is_paused(target.availability, now);
 }
 
 target_selection select_target(node_core& core, const request_plan& plan,
@@ -167,6 +174,20 @@
     return {chosen, choice.expected_latency, false, choice.reason};
 }
 
+std::optional<milliseconds> time_to_end_of_pause(const node_core& core, const request_plan& plan) {
+    const instant now = now_of(core);
+    const std::vector<target_ptr> paused = find_eligible(core, plan, {}, is_only_paused, now);
+    if (paused.empty() || !find_eligible(core, plan, {}, accepts_new_requests, now).empty() ||
+        !find_eligible(core, plan, {}, is_last_resort, now).empty()) {
+        return std::nullopt;
+    }
+    instant first_end = instant::max();
+    for (const target_ptr& target : paused) {
+        first_end = std::min(first_end, target->availability.paused_until);
+    }
+    return std::chrono::ceil<milliseconds>(first_end - now);
+}
+
 void record_selection(node_core& core, const request_plan& plan, target_record& target) {
     const instant now = now_of(core);
     record_region_request(core.shift_limiter, core.settings.shift_limits, target.info.region, now);
--- a/packages/proxy/target_selection.h
+++ b/packages/proxy/target_selection.h
@@ -6,6 +6,7 @@
 #include "placement.h"
 #include "request_plan.h"
 
+#include <optional>
 #include <vector>
 
 namespace cassiaspan {
@@ -17,8 +18,8 @@
     // Expected time from the selection until the request finishes at `target`. Without a target, that of the
     // best candidate, which takes too long; 0 if there was no candidate. The Retry-After is computed from it.
     milliseconds expected_finish{};
-    // No target may be used at all: none is known, or all are backing off, draining, already tried or in
-    // regions that are not allowed.
+    // No target may be used at all: none is known, or all are backing off, paused, draining, already tried or
+    // in regions that are not allowed.
     bool no_eligible_target = false;
     // Why `target` was chosen.
     placement_reason reason = placement_reason::primary;
@@ -29,7 +30,7 @@
 constexpr milliseconds warm_retention{20'000};
 
 // Returns whether the target may receive new requests, independent of route and workspace: it is not
-// draining, leaving, removed, in an evacuated zone, or backing off after failures.
+// draining, leaving, paused, removed, in an evacuated zone, or backing off after failures.
 [[nodiscard]] bool accepts_new_requests(const node_core& core, const target_record& target, instant now);
 
 // Chooses a target that is not among `tried`. If no target may receive new requests, those that have only
@@ -37,6 +38,11 @@
 [[nodiscard]] target_selection select_target(node_core& core, const request_plan& plan,
                                              const std::vector<target_ptr>& tried);
 
+// Returns the time until a target may be used, if none may be now and at least one is only paused; otherwise
+// nullopt.
+[[nodiscard]] std::optional<milliseconds> time_to_end_of_pause(const node_core& core,
+                                                               const request_plan& plan);
+
 // Records that the request will be sent to the target, in the region shift limiter, the affinity history and
 // the pacing of a cold target. Call this once nothing can refuse the request any more.
 void record_selection(node_core& core, const request_plan& plan, target_record& target);
--- a/test/correctness/request_rules_test.cpp
+++ b/test/correctness/request_rules_test.cpp
@@ -43,6 +43,7 @@
                     {{"rejected", attempt_end::rejected, false, true, true, 503},
                      {"misdirected", attempt_end::misdirected, false, true, true, 503},
                      {"unreachable", attempt_end::unreachable, false, true, true, 503},
+                     {"withheld", attempt_end::withheld, false, true, true, 503},
                      {"failed", attempt_end::failed, true, true, false, 502},
                      {"timed out", attempt_end::timed_out, true, false, false, 504},
                      {"caller left", attempt_end::caller_left, true, false, false, 502}},
@@ -68,6 +69,35 @@
                   {"never above the upper bound", milliseconds(9000), 1.5, milliseconds(2000)}},
                  check_retry_after);
 
+struct retry_after_header_row {
+    std::string name;
+    std::string text;
+    std::optional<milliseconds> expected;
+};
+
+void check_retry_after_header(const retry_after_header_row& row) {
+    CPPUNIT_ASSERT(row.expected == parse_retry_after(row.text, seconds(300)));
+}
+
+const test_table<retry_after_header_row>
+    retry_after_headers("retry after header",
+                        {{"whole seconds", "2", milliseconds(2000)},
+                         {"a fraction", "1.5", milliseconds(1500)},
+                         {"less than a millisecond", "0.0001", milliseconds(1)},
+                         {"zero", "0", milliseconds(0)},
+                         {"longer than allowed", "301", milliseconds(300'000)},
+                         {"a very large number", "99999999999999999999999999", milliseconds(300'000)},
+                         {"a negative number", "-1", std::nullopt},
+                         {"empty", "", std::nullopt},
+                         {"not a number", "nan", std::nullopt},
+                         {"infinity", "inf", std::nullopt},
+                         {"an exponent", "1e3", std::nullopt},
+                         {"a unit", "5s", std::nullopt},
+                         {"two values", "5, 6", std::nullopt},
+                         {"a date", "Fri, 31 Dec 2100 23:59:59 GMT", std::nullopt},
+                         {"a date that begins with a number", "31 Dec 2100", std::nullopt}},
+                        check_retry_after_header);
+
 struct host_row {
     std::string name;
     std::string header;
