--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -106,11 +106,21 @@
     return choose_retry_after(expected, jitter(core.random));
 }
 
+// Returns the Retry-After of a request that no target may get: the time until a paused one may be used, or
+// the shortest one. A caller that returned before the end of the pause would be refused again.
+milliseconds retry_after_without_target(node_core& core, const request_plan& plan) {
+    if (const auto pause = time_to_end_of_pause(core, plan)) {
+        std::uniform_real_distribution<double> jitter(1.0, 1.5);
+        return choose_retry_after(*pause, jitter(core.random));
+    }
+    return jittered_retry_after(core, min_retry_after);
+}
+
 // Returns the reply to a request that reached no target. Its Retry-After is the time by which the expected
 // finish exceeds the latency objective.
 local_reply make_refusal(node_core& core, const request_plan& plan, const target_selection& selection) {
     if (selection.no_eligible_target) {
-        return {503, "no_target", jittered_retry_after(core, min_retry_after)};
+        return {503, "no_target", retry_after_without_target(core, plan)};
     }
     const auto time_to_objective =
         std::chrono::duration_cast<milliseconds>(plan.objective_deadline - now_of(core));
@@ -118,11 +128,11 @@
 }
 
 // Returns the reply to a request whose attempts have all failed.
-local_reply make_failure_reply(node_core& core, const forward_progress& progress) {
+local_reply make_failure_reply(node_core& core, const request_plan& plan, const forward_progress& progress) {
     const unsigned status = final_status(progress.last_outcome, progress.may_have_run_at_any);
     local_reply reply{status, to_string(progress.last_outcome), {}, progress.attempts};
     if (status == 503) {
-        reply.retry_after = progress.peer_retry_after.value_or(jittered_retry_after(core, min_retry_after));
+        reply.retry_after = progress.peer_retry_after.value_or(retry_after_without_target(core, plan));
     }
     return reply;
 }
@@ -235,7 +245,7 @@
 
 // Returns whether the attempt ended before any target received the request.
 bool reached_no_target(const target_record& target, const attempt_result& result) {
-    return result.outcome == attempt_end::unreachable ||
+    return !was_sent(result.outcome) ||
            (target.is_peer && result.outcome == attempt_end::rejected && result.relayed_attempts == 0);
 }
 
@@ -247,7 +257,7 @@
     progress.last_outcome = result.outcome;
     progress.may_have_run_at_any = progress.may_have_run_at_any || may_have_run(result.outcome);
     if (!target.is_peer) {
-        progress.attempts += result.outcome == attempt_end::unreachable ? 0 : 1;
+        progress.attempts += was_sent(result.outcome) ? 1 : 0;
         progress.unreachable_in_a_row =
             result.outcome == attempt_end::unreachable ? progress.unreachable_in_a_row + 1 : 0;
         return;
@@ -288,7 +298,7 @@
         const next_hop hop = select_next_hop(core, request, plan, progress);
         if (!hop.target) {
             co_return progress.tried.empty() ? make_refusal(core, plan, hop.selection)
-                                             : make_failure_reply(core, progress);
+                                             : make_failure_reply(core, plan, progress);
         }
         if (progress.tried.empty()) {
             if (auto refused = consume_workspace_token(core, plan, request)) {
@@ -322,7 +332,7 @@
             co_return body_too_large_reply;
         }
         if (is_cancelled(*cancellation)) {
-            co_return make_failure_reply(core, progress);
+            co_return make_failure_reply(core, plan, progress);
         }
         // A request that no target has received is sent elsewhere without using the retry budget, as long as
         // few targets and peers have been tried.
@@ -330,7 +340,7 @@
         constexpr std::size_t max_tried_without_retry_budget = 4;
         if (!(unsent && progress.tried.size() <= max_tried_without_retry_budget) &&
             !may_retry(core, plan, request, progress)) {
-            co_return make_failure_reply(core, progress);
+            co_return make_failure_reply(core, plan, progress);
         }
     }
 }
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "reach_tracking.h"
 #include "relay.h"
+#include "retry_after.h"
 #include "target_connections.h"
 
 #include <array>
@@ -127,6 +128,39 @@
     }
 }
 
+// Records what the target announces about itself in any of its responses, also in one to another request.
+void record_announcements(node_core& core, target_record& target, const http::response_header<>& head) {
+    // Another target made this response: the address has been assigned again.
+    if (head.result_int() == 421) {
+        return;
+    }
+    const instant now = now_of(core);
+    if (head[core.platform.headers().leaving] == "1" && !is_leaving(target.availability)) {
+        record_leaving(target.availability, now);
+        drop_idle_connections(target);
+        core.log.write(now, node_event::target_changed,
+                       log_fields()
+                           .add("target", target.info.id)
+                           .add("service", target.info.service)
+                           .add("state", "leaving"));
+    }
+    const auto retry_after_text = head[http::field::retry_after];
+    const auto pause = parse_retry_after({retry_after_text.data(), retry_after_text.size()}, max_pause);
+    if (head.result_int() == 503 && pause) {
+        const bool was_paused = is_paused(target.availability, now);
+        std::uniform_real_distribution<double> jitter(0, 1);
+        record_pause(target.availability, *pause, jitter(core.random), now);
+        if (!was_paused) {
+            core.log.write(now, node_event::target_changed,
+                           log_fields()
+                               .add("target", target.info.id)
+                               .add("service", target.info.service)
+                               .add("state", "paused")
+                               .add("pause_ms", pause->count()));
+        }
+    }
+}
+
 // Returns whether the response belongs to the request with this id.
 bool echoes_request_id(const header_names& names, const http::response_header<>& head,
                        const std::string& id) {
@@ -223,6 +257,7 @@
             }
             if (!this->target.is_peer) {
                 record_target_contact(this->core, this->target);
+                record_announcements(this->core, this->target, parser.get().base());
             }
             if (parser.get().result_int() / 100 == 1) {
                 continue;
@@ -303,6 +338,7 @@
         const auto found = this->core.targets.all().find(result.relayed_target);
         if (found != this->core.targets.all().end()) {
             record_target_headers(this->core, *found->second, result.head);
+            record_announcements(this->core, *found->second, result.head);
         }
         const auto attempts = result.head[relay_headers::attempts];
         std::size_t count = 0;
@@ -401,8 +437,9 @@
 // Updates the time averages of the service and the health of the target after an attempt.
 void update_estimates(node_core& core, target_record& target, const request_cancellation& cancellation,
                       const std::optional<bool>& target_is_warm, const attempt_result& result) {
-    if (cancellation.caller_left || (cancellation.timed_out && result.outcome == attempt_end::unreachable)) {
-        // The attempt was cancelled: its outcome is no sign of the target's health.
+    if (cancellation.caller_left || (cancellation.timed_out && result.outcome == attempt_end::unreachable) ||
+        result.outcome == attempt_end::withheld) {
+        // This VM ended the attempt: its outcome is no sign of the target's health.
         return;
     }
     const instant now = now_of(core);
@@ -455,7 +492,10 @@
         connection = co_await open_connection(core, target, cancellation);
     }
     const instant sent_at = now_of(core);
-    if (connection && !is_cancelled(*cancellation)) {
+    if (connection && is_paused(target->availability, sent_at)) {
+        result.outcome = attempt_end::withheld;
+        result.detail = "the target asked for a pause while the connection was being opened";
+    } else if (connection && !is_cancelled(*cancellation)) {
         http_exchange exchange(core, *target, *connection, request, sink);
         cancellation->active_socket = &connection->socket;
         result = co_await exchange.run();
@@ -463,7 +503,9 @@
         if (!may_have_run(result.outcome)) {
             record_refusal(*connection, request.id);
         }
-        if (exchange.is_reusable() && !request.id.empty()) {
+        const bool may_be_used_again =
+            target->is_peer || (core.targets.is_current(*target) && !is_leaving(target->availability));
+        if (exchange.is_reusable() && may_be_used_again && !request.id.empty()) {
             pool_connection(*target, std::move(connection), now_of(core));
         }
     } else {
