Tell the parser before the header that a response to HEAD has no body

Cause: the parser was told after it had read the header, which Beast forbids: with assertions, as in the sanitizer build, the VM aborts at its first HEAD request, or at a response with status 204 or 304. In the release build it had no effect that callers see.

Fix: a HEAD request sets it before the header is read. Responses with status 204 and 304 need no such help: their body is not read.

--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -244,6 +244,8 @@
             response_parser parser;
             parser.header_limit(max_response_header_bytes);
             parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+            // Must be set before the header is read.
+            parser.skip(this->request.head.method() == http::verb::head);
             error_code error;
             co_await http::async_read_header(this->connection.socket, this->connection.buffer, parser,
                                              capture_error(error));
@@ -308,15 +310,14 @@
             co_return;
         }
         bool complete = true;
-        if (response_has_no_body(parser, this->request.head.method())) {
-            parser.skip(true);
-        } else if (result.outcome == attempt_end::answered) {
+        const bool has_body = !response_has_no_body(parser, this->request.head.method());
+        if (has_body && result.outcome == attempt_end::answered) {
             complete = co_await this->read_body(parser, result);
             if (!complete) {
                 result.outcome = attempt_end::failed;
                 result.detail = "response truncated";
             }
-        } else {
+        } else if (has_body) {
             // The header states that the request was not executed, whatever happens to the body.
             complete = co_await this->skip_body(parser);
         }
