--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -40,6 +40,24 @@
     std::size_t& counter;
 };
 
+// Lists a request's cancellation in the VM's state for its lifetime.
+class scoped_cancellation {
+public:
+    scoped_cancellation(node_core& core_in, request_cancellation& cancellation_in)
+        : core(core_in), cancellation(cancellation_in) {
+        this->core.forwarded_requests.insert(&this->cancellation);
+    }
+    ~scoped_cancellation() { this->core.forwarded_requests.erase(&this->cancellation); }
+    scoped_cancellation(const scoped_cancellation&) = delete;
+    scoped_cancellation& operator=(const scoped_cancellation&) = delete;
+    scoped_cancellation(scoped_cancellation&&) = delete;
+    scoped_cancellation& operator=(scoped_cancellation&&) = delete;
+
+private:
+    node_core& core;
+    request_cancellation& cancellation;
+};
+
 using request_parser = http::request_parser<http::buffer_body>;
 
 // Waits for the first bytes of a request. Returns false if the connection ended or was idle for too long.
@@ -237,6 +255,7 @@
     node_core& core = state.core;
     state.request_deadline = plan.deadline;
     auto cancellation = std::make_shared<request_cancellation>();
+    const scoped_cancellation listed(core, *cancellation);
     const scoped_deadline timeout(core.deadlines, plan.deadline,
                                   [cancellation = cancellation.get()] { cancel_on_timeout(*cancellation); });
     if (!request.has_unbuffered_body) {
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -14,6 +14,7 @@
 #include "platform_adapter.h"
 #include "quarantine.h"
 #include "recent_uses.h"
+#include "request_cancellation.h"
 #include "region_shares.h"
 #include "retry_budget.h"
 #include "steering_config.h"
@@ -165,6 +166,8 @@
     // Recent delay of the event loop: a request waits for about this time before it is read.
     milliseconds loop_delay{};
 
+    // Cancellations of the requests that are being forwarded.
+    std::set<request_cancellation*> forwarded_requests;
     // Requests from their first byte until their response is written.
     std::size_t requests_in_progress = 0;
     std::size_t open_caller_connections = 0;
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -30,6 +30,9 @@
 constexpr milliseconds max_announcement_time{2500};
 // The process exits this long before the end of the grace period, when it would be killed.
 constexpr milliseconds forced_stop_margin{250};
+// Requests that are still in progress are answered this long before the end of the grace period, so that
+// their callers need not take a closed connection for the answer.
+constexpr milliseconds last_answers_margin{600};
 constexpr milliseconds stop_poll_interval{50};
 
 // Lateness up to this is normal timer inaccuracy and is not counted as loop delay.
@@ -209,8 +212,16 @@
         acceptor.close(error);
     }
 
+    // Ends the requests that are being forwarded as if their deadlines had passed.
+    void cancel_requests() {
+        for (request_cancellation* cancellation : this->core.forwarded_requests) {
+            cancel_on_timeout(*cancellation);
+        }
+    }
+
     // Performs a planned stop: the VM removes itself from lookups, handles requests that arrive meanwhile,
-    // then refuses new ones, waits for those in progress, and stops the event loop.
+    // then refuses new ones, waits for those in progress, answers those that take too long, and stops the
+    // event loop.
     asio::awaitable<void> stop() {
         const instant stop_started = now_of(this->core);
         const milliseconds grace = this->core.settings.stop_grace;
@@ -231,6 +242,9 @@
         co_await sleep_for(this->core.context, stop_poll_interval);
         while (this->core.requests_in_progress > 0 &&
                now_of(this->core) - stop_started < grace - forced_stop_margin) {
+            if (now_of(this->core) - stop_started >= grace - last_answers_margin) {
+                this->cancel_requests();
+            }
             co_await sleep_for(this->core.context, stop_poll_interval);
         }
         // Gives the last responses time to be sent before the process exits.
