Keep a connection to a target that opens beside its timeout

Cause: the connect timeout closed the socket. On a busy VM, whose event loop runs the timeout before the handler of the connect, a connection that was open counted as an unreachable target; three in a row made the VM take all targets for lost. It is the class of fault of requests that end without a response: a timeout that does not look at the operation.

Fix: the timeout cancels, so that an operation that has completed keeps its result.

--- a/packages/proxy/target_connections.cpp
+++ b/packages/proxy/target_connections.cpp
@@ -77,11 +77,11 @@
     auto connection = std::make_unique<target_connection>(core.context);
     tcp::socket& socket = connection->socket;
     const instant started_at = now_of(core);
-    bool timed_out = false;
     std::optional<scoped_deadline> timeout;
-    timeout.emplace(core.deadlines, started_at + connect_timeout(*target), [&timed_out, &cancellation] {
-        timed_out = true;
-        close_active_socket(*cancellation);
+    // Cancels instead of closing: on a busy VM, the connection may be open already.
+    timeout.emplace(core.deadlines, started_at + connect_timeout(*target), [&socket] {
+        error_code ignored;
+        socket.cancel(ignored);
     });
     ++target->open_connections;
     ++core.metrics.target_connections;
@@ -90,7 +90,7 @@
     co_await socket.async_connect(to_tcp_endpoint(target->info.address), capture_error(error));
     cancellation->active_socket = nullptr;
     timeout.reset();
-    if (error || timed_out || is_cancelled(*cancellation)) {
+    if (error || is_cancelled(*cancellation)) {
         if (!is_cancelled(*cancellation) && !target->is_peer) {
             record_target_failure(core, *target);
         }
