Answer the requests that a stopping VM would leave unanswered, as late as possible

What callers saw: a closed connection when a VM stopped while their targets did not respond.

Cause: a planned stop ended the event loop 250 ms before the end of the grace period, whoever still waited.

Fix: 400 ms before that end, the VM ends the requests that it forwards as if their deadlines had passed: 504, or 503 if no target can have run them.

--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -30,9 +30,9 @@
 constexpr milliseconds max_announcement_time{2500};
 // The process exits this long before the end of the grace period, when it would be killed.
 constexpr milliseconds forced_stop_margin{250};
-// Requests that are still in progress are answered this long before the end of the grace period, so that
-// their callers need not take a closed connection for the answer.
-constexpr milliseconds last_answers_margin{600};
+// Requests that are still being forwarded are answered this long before the end of the grace period. Later,
+// their connections would be closed without an answer.
+constexpr milliseconds last_answers_margin{400};
 constexpr milliseconds stop_poll_interval{50};
 
 // Lateness up to this is normal timer inaccuracy and is not counted as loop delay.
