Let peers that cannot serve a relayed request say so at once, and only for its service

What callers could see, found by a review: in the first second of a cut, VMs that were cut off relayed to each other and waited for up to five connects; a refusal for want of room at one service left the peer out for all services; a peer that had restarted was sent its former key and refused all requests until its next full report; large uploads were refused if the first target was unreachable; and targets that had crashed together, without a cut, were no longer paced as restarted ones.

Fix: a peer out of reach refuses before it reads the body, and gives up after its first failure; only a refusal that holds for all services leaves a peer out; a restarted peer is not chosen until its key is known; an attempt that sent nothing is repeated also with a large body; recorded failures are cleared only after a second without any contact, and restarts only if they were suspected in that time.

--- a/packages/policy/target_reach.cpp
+++ b/packages/policy/target_reach.cpp
@@ -35,6 +35,9 @@
     }
     const std::size_t limit = std::max<std::size_t>(1, std::min(min_unreached_targets, known_targets));
     reach.is_lost = reach.unreached.size() >= limit;
+    if (reach.is_lost) {
+        reach.lost_at = now;
+    }
     return reach.is_lost;
 }
 
--- a/packages/policy/target_reach.h
+++ b/packages/policy/target_reach.h
@@ -22,7 +22,8 @@
     instant last_contact;
     // When a target could last not be reached.
     instant last_failure;
-    // When the group was reached again after it was lost.
+    // When the group was last lost, and when it was reached again.
+    instant lost_at;
     instant restored_at;
     auto operator<=>(const target_reach&) const = default;
 };
--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -150,7 +150,12 @@
         if (!may_have_run(reply)) {
             response.set(state.core.platform.headers().not_executed, "1");
         }
-        response.set(relay_headers::attempts, std::to_string(reply.attempts));
+        if (reply.attempts) {
+            response.set(relay_headers::attempts, std::to_string(*reply.attempts));
+        }
+        if (reply.refuses_peers) {
+            response.set(relay_headers::refused, "1");
+        }
     }
     response.body() = reply.reason + "\n";
     response.prepare_payload();
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -348,6 +348,16 @@
     co_return ok;
 }
 
+// Ends a request that was refused before it was forwarded. Returns false if the connection failed.
+asio::awaitable<bool> end_refused_request(caller_connection_state& state, const caller_request& request,
+                                          const local_reply& reply) {
+    const bool ok = co_await write_local_reply(state, reply, request.head.version(), request.id);
+    request_summary summary = summarize_reply(reply);
+    check_response_written(state, summary);
+    log_request(state.core, request, nullptr, summary);
+    co_return ok;
+}
+
 // On a peer's connection, sets what the peer has decided about the request. Returns the reply if it is
 // refused.
 tl::expected<void, local_reply> read_relay_headers(const caller_connection_state& state,
@@ -378,6 +388,15 @@
                                               "header_not_read");
     }
     state.keep_alive = parser.get().keep_alive() && is_accepting(state.core);
+    state.has_read_body = parser.is_done();
+    if (const auto accepted = read_relay_headers(state, request); !accepted) {
+        parse_caller_headers(state.core, request);
+        co_return co_await end_refused_request(state, request, accepted.error());
+    }
+    std::optional<scoped_count> relayed;
+    if (request.relayed) {
+        relayed.emplace(state.core.relayed_requests);
+    }
     if (boost::beast::iequals(request.head[http::field::expect], "100-continue")) {
         http::response<http::empty_body> continue_response(http::status::continue_, request.head.version());
         error_code error;
@@ -404,15 +423,9 @@
         log_request(state.core, request, nullptr, summary);
         co_return false;
     }
-    tl::expected<request_plan, local_reply> plan =
-        read_relay_headers(state, request).and_then([&] { return plan_request(state.core, request); });
+    const auto plan = plan_request(state.core, request);
     if (!plan) {
-        const local_reply& reply = plan.error();
-        const bool ok = co_await write_local_reply(state, reply, request.head.version(), request.id);
-        request_summary summary = summarize_reply(reply);
-        check_response_written(state, summary);
-        log_request(state.core, request, nullptr, summary);
-        co_return ok;
+        co_return co_await end_refused_request(state, request, plan.error());
     }
     co_return co_await run_request(state, parser, request, *plan);
 }
@@ -432,7 +445,7 @@
         log_request(state.core, request, nullptr, summarize_unanswered("internal_error", "exception"));
         co_return false;
     }
-    const local_reply reply{502, "internal_error", {}};
+    const local_reply reply{502, "internal_error", {}, std::nullopt};
     const bool ok = co_await write_local_reply(state, reply, 11, request.id);
     request_summary summary = summarize_reply(reply);
     check_response_written(state, summary);
@@ -462,13 +475,11 @@
     const scoped_count open_connection(core.open_caller_connections);
     error_code ignored;
     state.socket->non_blocking(true, ignored);
-    std::size_t uncounted = 0;
     bool ok = true;
     while (ok && state.keep_alive) {
         ok = co_await wait_for_request(state);
         if (ok) {
             const scoped_count in_progress(core.requests_in_progress);
-            const scoped_count relayed(state.is_from_vm ? core.relayed_requests : uncounted);
             std::exception_ptr exception;
             try {
                 ok = co_await serve_request(state);
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -200,7 +200,8 @@
             return {std::move(peer), {}};
         }
     }
-    if (progress.relays > 0 && is_out_of_reach(core, plan.service)) {
+    const bool was_relayed = progress.relays > 0 || (request.relayed && !progress.tried.empty());
+    if (was_relayed && is_out_of_reach(core, plan.service)) {
         return {};
     }
     target_selection selection = select_target(core, plan, progress.tried);
@@ -269,7 +270,7 @@
     }
     if (result.outcome == attempt_end::rejected) {
         progress.peer_retry_after = read_retry_after(result.head);
-        if (reached_no_target(target, result)) {
+        if (result.relay_refused) {
             target.health.backoff_until = now_of(core) + progress.peer_retry_after.value_or(milliseconds(0));
         }
     }
@@ -336,7 +337,8 @@
         }
         // A request that no target has received is sent elsewhere without using the retry budget, as long as
         // few targets and peers have been tried.
-        const bool unsent = !request.has_unbuffered_body && reached_no_target(*target, result);
+        const bool unsent =
+            !was_sent(result.outcome) || (!request.has_unbuffered_body && reached_no_target(*target, result));
         constexpr std::size_t max_tried_without_retry_budget = 4;
         if (!(unsent && progress.tried.size() <= max_tried_without_retry_budget) &&
             !may_retry(core, plan, request, progress)) {
--- a/packages/proxy/reach_tracking.cpp
+++ b/packages/proxy/reach_tracking.cpp
@@ -12,14 +12,21 @@
 namespace {
 
 constexpr milliseconds probe_interval{250};
+// Services that are probed at a time while no target at all is reached.
+constexpr std::size_t max_probed_services = 2;
+// Some targets that crash together can look like a cut, but others are then reached sooner than this.
+constexpr milliseconds min_cut_time{1000};
+// Failures up to this time before all targets counted as lost belong to the same cut.
+constexpr milliseconds max_detection_time{2000};
 
 void log_reach(node_core& core, std::string_view service, const char* state) {
     core.log.write(now_of(core), node_event::reach_changed,
                    log_fields().add("service", service).add("state", state));
 }
 
-// Forgets the failures of the service's targets, if a peer has reached them all the while.
-void forgive_failures(node_core& core, const std::string& service) {
+// Clears what was recorded against the service's targets while this VM reached none of any service, if a peer
+// reaches them.
+void clear_failures_of_cut(node_core& core, const std::string& service) {
     const instant now = now_of(core);
     const std::uint32_t hash = get_service_stats(core, service).name_hash;
     const auto& peers = core.peers.by_name;
@@ -29,10 +36,12 @@
         return;
     }
     for (const target_ptr& target : core.targets.find_by_service(service)) {
-        target->may_have_restarted = false;
         target->health.failure_rate = 0;
         target->health.consecutive_connect_failures = 0;
         target->health.backoff_until = instant{};
+        if (target->unreachable_since >= core.reach.lost_at - max_detection_time) {
+            target->may_have_restarted = false;
+        }
     }
 }
 
@@ -64,17 +73,17 @@
 void record_target_contact(node_core& core, const target_record& target) {
     const instant now = now_of(core);
     const std::string& service = target.info.service;
+    const bool was_cut = core.reach.is_lost && now - core.reach.lost_at >= min_cut_time;
     if (record_contact(core.reach, now)) {
         log_reach(core, "", "reached");
-        for (const auto& [name, stats] : core.services) {
-            if (!stats.reach.is_lost) {
-                forgive_failures(core, name);
-            }
-        }
     }
     if (record_contact(get_service_stats(core, service).reach, now)) {
         log_reach(core, service, "reached");
-        forgive_failures(core, service);
+    }
+    if (was_cut) {
+        for (const auto& [name, stats] : core.services) {
+            clear_failures_of_cut(core, name);
+        }
     }
 }
 
@@ -102,6 +111,10 @@
                 services.push_back(name);
             }
         }
+        if (core.reach.is_lost && services.size() > max_probed_services) {
+            std::shuffle(services.begin(), services.end(), core.random);
+            services.resize(max_probed_services);
+        }
         for (const std::string& service : services) {
             if (const target_ptr target = choose_probe_target(core, service)) {
                 spawn_task(core, "target probe", probe(core, target));
--- a/packages/proxy/reach_tracking.h
+++ b/packages/proxy/reach_tracking.h
@@ -5,9 +5,9 @@
 
 namespace cassiaspan {
 
-// Records that the target accepted a connection or sent bytes. If its service was out of reach and peers
-// reached it meanwhile, the service's targets were up, so the failures that this VM saw are no longer held
-// against them.
+// Records that the target accepted a connection or sent bytes. If all targets were out of reach for a second
+// or more, and peers reach the service, its targets were up: what this VM has recorded against them since
+// then is cleared, so that they are neither avoided nor paced as restarted ones.
 void record_target_contact(node_core& core, const target_record& target);
 
 // Records that no connection to the target could be opened, or that it fell silent.
--- a/packages/proxy/relay.cpp
+++ b/packages/proxy/relay.cpp
@@ -16,17 +16,17 @@
 // A VM whose event loop is delayed by more than this serves no requests for peers: its own callers wait
 // already.
 constexpr milliseconds max_loop_delay_for_relays{200};
-// At most this fraction of the open files may belong to requests that are served for peers, each with a
-// connection to the peer and one to a target.
+// Open files of the VM for each request that it serves for peers. Two of them are connections of the request,
+// to the peer and to a target.
 constexpr std::size_t open_files_per_relayed_request = 8;
 // Time after which a peer without room is asked again.
 constexpr milliseconds busy_retry_after{500};
 
 constexpr int hexadecimal = 16;
 
-constexpr std::array<const char*, 6> all_relay_headers{relay_headers::key,       relay_headers::service,
-                                                       relay_headers::workspace, relay_headers::config,
-                                                       relay_headers::attempts,  relay_headers::target};
+constexpr std::array<const char*, 7> all_relay_headers{
+    relay_headers::key,      relay_headers::service, relay_headers::workspace, relay_headers::config,
+    relay_headers::attempts, relay_headers::target,  relay_headers::refused};
 
 // Returns the record that holds the connections to the peer; creates it for the peer's incarnation.
 target_ptr get_relay(node_core& core, const peer_vm& peer) {
@@ -136,7 +136,7 @@
     constexpr unsigned status_unavailable = 503;
     std::uint64_t key = 0;
     if (!parse_number(field_of(head, relay_headers::key), key, hexadecimal) || key != core.relay_key) {
-        return tl::unexpected(local_reply{status_forbidden, "not_a_vm", {}});
+        return tl::unexpected(local_reply{status_forbidden, "not_a_vm", busy_retry_after, 0, true});
     }
     relayed_request relay;
     relay.service = std::string(field_of(head, relay_headers::service));
@@ -148,11 +148,14 @@
         return tl::unexpected(local_reply{status_bad_request, "malformed_relay", {}});
     }
     if (!core.config || core.config->rules().version < version) {
-        return tl::unexpected(local_reply{status_unavailable, "relay_config", busy_retry_after});
+        return tl::unexpected(local_reply{status_unavailable, "relay_config", busy_retry_after, 0, true});
+    }
+    if (is_out_of_reach(core, relay.service)) {
+        return tl::unexpected(local_reply{status_unavailable, "relay_out_of_reach", busy_retry_after});
     }
     if (core.loop_delay > max_loop_delay_for_relays ||
         core.relayed_requests >= core.settings.max_open_files / open_files_per_relayed_request) {
-        return tl::unexpected(local_reply{status_unavailable, "relay_busy", busy_retry_after});
+        return tl::unexpected(local_reply{status_unavailable, "relay_busy", busy_retry_after, 0, true});
     }
     return relay;
 }
--- a/packages/proxy/relay.h
+++ b/packages/proxy/relay.h
@@ -8,7 +8,10 @@
 //             Relay-Config       version of the configuration of the first VM
 //             Relay-Attempts     number of targets to which the request may still be sent
 //   response  Relay-Target       id of the target that responded; absent in the peer's own replies
-//             Relay-Attempts     in the peer's own replies: number of targets that the request was sent to
+//             Relay-Attempts     in the peer's own replies: number of targets that the request was sent to;
+//             absent
+//                                if it is unknown
+//             Relay-Refused      in replies of a peer that serves no requests for others at present
 //
 // The first VM authenticates the caller and takes the token from the workspace's bucket; the peer does
 // neither. A reply of the peer itself that promises that no target has run the request is marked with the
@@ -29,12 +32,14 @@
 constexpr const char* config = "Relay-Config";
 constexpr const char* attempts = "Relay-Attempts";
 constexpr const char* target = "Relay-Target";
+constexpr const char* refused = "Relay-Refused";
 } // namespace relay_headers
 
 // Requests that were passed to a peer are passed to another one at most once.
 constexpr std::size_t max_relays_per_request = 2;
 
-// Returns whether the name is one of relay_headers. They are not forwarded to targets or to callers.
+// Returns whether the name is one of relay_headers. Those of callers are not forwarded to targets, and those
+// of peers not to callers.
 [[nodiscard]] bool is_relay_header(boost::beast::string_view name);
 
 // Returns whether the peer reports that it reaches targets of the service with this hash.
@@ -57,12 +62,13 @@
 // Removes the relay headers, so that the request can be sent to a target.
 void clear_relay_headers(http::request_header<>& head);
 
-// Removes expired connections to peers, and those to peers that are gone or have restarted.
+// Removes expired connections to peers, and those to peers that are gone.
 void remove_stale_relays(node_core& core);
 
 // Reads the relay headers of a request that arrived on the port for VMs. Returns the reply if the request is
 // refused: 403 "not_a_vm" without this incarnation's key, 400 "malformed_relay", 503 "relay_config" while
-// this VM's configuration is older than that of the first VM, or 503 "relay_busy" if this VM has no room.
+// this VM's configuration is older than that of the first VM, 503 "relay_out_of_reach" if this VM does not
+// reach the service either, or 503 "relay_busy" if it has no room.
 [[nodiscard]] tl::expected<relayed_request, local_reply> parse_relay_headers(const node_core& core,
                                                                              const http::fields& head);
 
--- a/packages/proxy/request_plan.h
+++ b/packages/proxy/request_plan.h
@@ -72,8 +72,10 @@
     std::string reason;
     // Value of the Retry-After header, if it is sent.
     std::optional<milliseconds> retry_after;
-    // Number of targets to which the request was sent.
-    std::size_t attempts = 0;
+    // Number of targets to which the request was sent; unset if it is unknown.
+    std::optional<std::size_t> attempts = 0;
+    // Whether this VM serves no requests for peers at present, whatever their service.
+    bool refuses_peers = false;
     auto operator<=>(const local_reply&) const = default;
 };
 
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -346,8 +346,10 @@
         if (std::from_chars(attempts.data(), attempts.data() + attempts.size(), count).ec == std::errc()) {
             result.relayed_attempts = count;
         }
+        result.relay_refused = result.head.count(relay_headers::refused) != 0;
         result.head.erase(relay_headers::target);
         result.head.erase(relay_headers::attempts);
+        result.head.erase(relay_headers::refused);
     }
 
     // Reads the body into the result. A body larger than max_buffered_response_bytes is passed to the sink
@@ -464,6 +466,7 @@
                                                       : times.cold;
     record_outcome(target.health, to_target_outcome(result.outcome), {own_time, usual_time}, now);
     if (result.outcome == attempt_end::unreachable) {
+        target.unreachable_since = target.may_have_restarted ? target.unreachable_since : now;
         target.may_have_restarted = true;
     }
     if (result.outcome == attempt_end::answered && target.may_have_restarted) {
--- a/packages/proxy/target_attempt.h
+++ b/packages/proxy/target_attempt.h
@@ -67,6 +67,8 @@
     std::string relayed_target;
     // For an attempt at a peer: the number of targets that the request was sent to, if the peer says so.
     std::optional<std::size_t> relayed_attempts;
+    // The peer serves no requests for others at present.
+    bool relay_refused = false;
     // Duration of the whole attempt.
     milliseconds latency{};
     // The part of `latency` that was spent at the target: without opening a connection and without the
--- a/packages/proxy/target_table.h
+++ b/packages/proxy/target_table.h
@@ -62,6 +62,8 @@
     instant cold_until;
     // The target was unreachable. It may have restarted cold before its discovery entry says so.
     bool may_have_restarted = false;
+    // When it was first unreachable since its last response.
+    instant unreachable_since;
     // Requests in flight at the target from this VM, and from the other VMs according to their last reports.
     std::size_t in_flight = 0;
     std::size_t peers_in_flight = 0;
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -149,6 +149,9 @@
         // A VM that restarts keeps its addresses. Hubs forward reports without them.
         record = make_peer_record(known);
         record.set_incarnation(sender.incarnation());
+        // The key of the new incarnation follows with its addresses.
+        record.clear_relay_address();
+        record.clear_relay_key();
     }
     peer_vm* peer = update_peer_record(core.peers, record, now_of(core));
     if (peer != nullptr && peer->incarnations.current != known_incarnation) {
@@ -251,7 +254,7 @@
     gossip.set_has_all_counters(true);
     gossip.set_targets_unreachable(core.reach.is_lost);
     for (const auto& [name, stats] : core.services) {
-        if (stats.reach.is_lost) {
+        if (stats.reach.is_lost && !core.reach.is_lost) {
             gossip.add_unreachable_services(stats.name_hash);
         }
     }
