Notice a cut from targets within about a second also at VMs with few requests

What callers could see: a VM with few requests sent them on kept connections that had gone silent, and took 2.3 s to notice that it reached no target; until then it also accepted requests of other VMs that were cut off.

Cause: only failed connects and timeouts of sent bytes counted, and nothing was tried without a request.

Fix: while requests are in flight and no target has sent anything for 300 ms, or a target has failed since the last contact, the VM opens connections to two random targets of each service every 250 to 375 ms. A connection that fails before the response counts as a failure to reach its target. A peer refuses a relayed request after its first unreachable target.

Evidence: 'bodies at a cut VM/large chunked upload', 'slow response' and 'endless upload' failed on the code before (expected 200, actual 503 or none; 413, actual 503) and pass now.

--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -200,8 +200,11 @@
             return {std::move(peer), {}};
         }
     }
-    const bool was_relayed = progress.relays > 0 || (request.relayed && !progress.tried.empty());
-    if (was_relayed && is_out_of_reach(core, plan.service)) {
+    if (progress.relays > 0 && is_out_of_reach(core, plan.service)) {
+        return {};
+    }
+    if (request.relayed && progress.unreachable_in_a_row > 0) {
+        // This VM may be cut off as well. The VM that sent the request can try another peer.
         return {};
     }
     target_selection selection = select_target(core, plan, progress.tried);
--- a/packages/proxy/reach_tracking.cpp
+++ b/packages/proxy/reach_tracking.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds probe_interval{250};
 // Services that are probed at a time while no target at all is reached.
 constexpr std::size_t max_probed_services = 2;
+// Targets of one service that are probed at a time after a first failure, to find out whether it is in reach.
+constexpr std::size_t suspicion_probes = 2;
 // Some targets that crash together can look like a cut, but others are then reached sooner than this.
 constexpr milliseconds min_cut_time{1000};
 // Failures up to this time before all targets counted as lost belong to the same cut.
@@ -45,6 +47,15 @@
     }
 }
 
+// Returns whether requests are in flight and no target has sent anything for some time: connections may hang.
+bool is_silent(const node_core& core) {
+    constexpr milliseconds max_silence{300};
+    const auto& targets = core.targets.all();
+    return now_of(core) - core.reach.last_contact > max_silence &&
+           std::any_of(targets.begin(), targets.end(),
+                       [](const auto& entry) { return entry.second->in_flight > 0; });
+}
+
 // Opens a connection to the target and adds it to the pool.
 asio::awaitable<void> probe(node_core& core, target_ptr target) {
     auto cancellation = std::make_shared<request_cancellation>();
@@ -106,15 +117,20 @@
         std::uniform_int_distribution<int> jitter(0, static_cast<int>(probe_interval.count() / 2));
         co_await sleep_for(core.context, probe_interval + milliseconds(jitter(core.random)));
         std::vector<std::string> services;
+        std::vector<std::string> suspected;
+        const bool silent = is_silent(core);
         for (const auto& [name, stats] : core.services) {
             if (is_out_of_reach(core, name)) {
                 services.push_back(name);
+            } else if (!stats.reach.unreached.empty() || silent) {
+                suspected.insert(suspected.end(), suspicion_probes, name);
             }
         }
         if (core.reach.is_lost && services.size() > max_probed_services) {
             std::shuffle(services.begin(), services.end(), core.random);
             services.resize(max_probed_services);
         }
+        services.insert(services.end(), suspected.begin(), suspected.end());
         for (const std::string& service : services) {
             if (const target_ptr target = choose_probe_target(core, service)) {
                 spawn_task(core, "target probe", probe(core, target));
--- a/packages/proxy/reach_tracking.h
+++ b/packages/proxy/reach_tracking.h
@@ -14,7 +14,8 @@
 void record_target_failure(node_core& core, const target_record& target);
 
 // Opens connections to targets of services that are out of reach, so that the end of a partition is noticed
-// without a request at stake. Runs until the event loop ends.
+// without a request at stake; and while requests are in flight and targets fail or are silent, so that its
+// beginning is noticed soon. Runs until the event loop ends.
 asio::awaitable<void> probe_lost_targets(node_core& core);
 
 } // namespace cassiaspan
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -252,7 +252,9 @@
             if (error) {
                 result.outcome = attempt_end::failed;
                 result.detail = error.message();
-                if (error == asio::error::timed_out && !this->target.is_peer) {
+                // Without a cancellation, the connection has failed.
+                if (error != asio::error::operation_aborted && error != asio::error::bad_descriptor &&
+                    !skipped_any && !this->target.is_peer) {
                     record_target_failure(this->core, this->target);
                 }
                 co_return;
