Separate the choice of relays and services from optional values

Change: next_service finds the peer's choice in the route's split; find_relay_peers filters the peers and make_candidate describes each, without optional values. No behaviour changes.

--- a/packages/proxy/relay.cpp
+++ b/packages/proxy/relay.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <charconv>
 #include <fmt/format.h>
+#include <iterator>
 
 namespace cassiaspan {
 
@@ -48,6 +49,37 @@
     return {text.data(), text.size()};
 }
 
+// Returns the peers that can relay the request to its service, apart from those that were tried.
+std::vector<const peer_vm*> find_relay_peers(const node_core& core, const request_plan& plan,
+                                             const std::vector<target_ptr>& tried) {
+    const instant now = now_of(core);
+    const std::uint32_t service_hash = low_32_bits(stable_hash(plan.service));
+    const std::vector<std::string> unrestricted;
+    const auto& workspace_regions =
+        plan.workspace != nullptr ? plan.workspace->allowed_regions : unrestricted;
+    std::vector<const peer_vm*> peers;
+    for (const auto& [name, peer] : core.peers.by_name) {
+        if (!is_alive(peer, now) || !peer.accepting || peer.relay_address.port == 0 ||
+            !reaches_service(peer, service_hash) ||
+            !is_region_allowed(plan.route->allowed_regions, workspace_regions, peer.region)) {
+            continue;
+        }
+        const auto relay = core.relays.find(name);
+        if (relay == core.relays.end() ||
+            (!is_backing_off(relay->second->health, now) &&
+             std::find(tried.begin(), tried.end(), relay->second) == tried.end())) {
+            peers.push_back(&peer);
+        }
+    }
+    return peers;
+}
+
+relay_candidate make_candidate(const node_core& core, const peer_vm& peer) {
+    const auto relay = core.relays.find(peer.name);
+    return {peer.availability_zone == core.settings.availability_zone, peer.region == core.settings.region,
+            peer.link_mbps, relay == core.relays.end() ? 0 : relay->second->in_flight};
+}
+
 // Parses a number that is the whole text. Returns false if it is none.
 template <class Number> bool parse_number(std::string_view text, Number& number, int base = 10) {
     const auto result = std::from_chars(text.data(), text.data() + text.size(), number, base);
@@ -73,30 +105,10 @@
 }
 
 target_ptr select_relay(node_core& core, const request_plan& plan, const std::vector<target_ptr>& tried) {
-    const instant now = now_of(core);
-    const std::uint32_t service_hash = low_32_bits(stable_hash(plan.service));
-    const std::vector<std::string> unrestricted;
-    const auto& workspace_regions =
-        plan.workspace != nullptr ? plan.workspace->allowed_regions : unrestricted;
-    std::vector<const peer_vm*> peers;
+    const std::vector<const peer_vm*> peers = find_relay_peers(core, plan, tried);
     std::vector<relay_candidate> candidates;
-    for (const auto& [name, peer] : core.peers.by_name) {
-        if (!is_alive(peer, now) || !peer.accepting || peer.relay_address.port == 0 ||
-            !reaches_service(peer, service_hash) ||
-            !is_region_allowed(plan.route->allowed_regions, workspace_regions, peer.region)) {
-            continue;
-        }
-        const auto relay = core.relays.find(name);
-        const bool is_known = relay != core.relays.end();
-        if (is_known && (is_backing_off(relay->second->health, now) ||
-                         std::find(tried.begin(), tried.end(), relay->second) != tried.end())) {
-            continue;
-        }
-        peers.push_back(&peer);
-        candidates.push_back({peer.availability_zone == core.settings.availability_zone,
-                              peer.region == core.settings.region, peer.link_mbps,
-                              is_known ? relay->second->in_flight : 0});
-    }
+    std::transform(peers.begin(), peers.end(), std::back_inserter(candidates),
+                   [&core](const peer_vm* peer) { return make_candidate(core, *peer); });
     const auto index = choose_relay(candidates, core.random);
     return index ? get_relay(core, *peers[*index]) : nullptr;
 }
--- a/packages/proxy/request_plan.cpp
+++ b/packages/proxy/request_plan.cpp
@@ -100,23 +100,25 @@
     return {};
 }
 
-// Returns whether the peer that sent the request has chosen a service of the route's traffic split.
-bool is_chosen_by_peer(const request_plan& plan, const caller_request& request) {
-    const auto& split = plan.route->split;
-    return request.relayed &&
-           std::any_of(split.begin(), split.end(), [&request](const weighted_service& each) {
-               return each.service == request.relayed->service;
-           });
+// Returns the service that the request goes to: the one that the peer which sent it has chosen, if it is of
+// the route's traffic split, or the next one of the split.
+std::string next_service(node_core& core, const route_rule& route, const caller_request& request) {
+    const auto& split = route.split;
+    const auto is_chosen_by_peer = [&request](const weighted_service& each) {
+        return request.relayed && each.service == request.relayed->service;
+    };
+    const auto chosen = std::find_if(split.begin(), split.end(), is_chosen_by_peer);
+    if (chosen != split.end()) {
+        return chosen->service;
+    }
+    return split.size() == 1 ? split.front().service
+                             : split[choose_weighted_service(core.splits[route.name], split)].service;
 }
 
 // Chooses a service of the route's traffic split, sets the affinity hash, and counts the request in the
 // service's retry budget and demand. A request of a peer has been counted there.
 void choose_service(node_core& core, request_plan& plan, const caller_request& request) {
-    const auto& split = plan.route->split;
-    plan.service = is_chosen_by_peer(plan, request) ? request.relayed->service
-                   : split.size() == 1
-                       ? split.front().service
-                       : split[choose_weighted_service(core.splits[plan.route->name], split)].service;
+    plan.service = next_service(core, *plan.route, request);
     const std::string_view key = to_string_view(request.head[core.platform.headers().affinity_key]);
     if (plan.route->affinity && !key.empty()) {
         plan.affinity_hash = stable_hash(key);
