Parse a peer's Retry-After as that of targets

Cause: forwarding.cpp had its own parser for the header of peers, with another bound (10 s) than any refusal of a VM has (2 s).

Change: it calls parse_retry_after with max_retry_after. A text with trailing bytes now counts as absent, as for targets.

--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace cassiaspan {
 
@@ -236,17 +235,6 @@
     }
 }
 
-// Returns the Retry-After of a peer's refusal, or nothing if it has none that can be read.
-std::optional<milliseconds> read_retry_after(const http::response_header<>& head) {
-    constexpr double max_seconds = 10;
-    const auto text = head[http::field::retry_after];
-    double time = 0;
-    if (std::from_chars(text.data(), text.data() + text.size(), time).ec != std::errc() || !(time >= 0)) {
-        return std::nullopt;
-    }
-    return std::chrono::ceil<milliseconds>(std::chrono::duration<double>(std::min(time, max_seconds)));
-}
-
 // Returns whether the attempt ended before any target received the request.
 bool reached_no_target(const target_record& target, const attempt_result& result) {
     return !was_sent(result.outcome) ||
@@ -272,7 +260,8 @@
                                      progress.attempts + result.relayed_attempts.value_or(plan.max_attempts));
     }
     if (result.outcome == attempt_end::rejected) {
-        progress.peer_retry_after = read_retry_after(result.head);
+        const auto text = result.head[http::field::retry_after];
+        progress.peer_retry_after = parse_retry_after({text.data(), text.size()}, max_retry_after);
         if (result.relay_refused) {
             target.health.backoff_until = now_of(core) + progress.peer_retry_after.value_or(milliseconds(0));
         }
