Review case 4: a fraction in the bounds keeps the process from starting

grace-s, budget-window-s and ttl_max_s are read as integers. With a fraction, a running VM keeps its old settings, and a restarted one ends at every start.

--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -916,8 +916,16 @@
     machine(machine&&) = delete;
     machine& operator=(machine&&) = delete;
 
+    void set_bound(const std::string& bound, const json& value) { this->settings["bounds"][bound] = value; }
+    // Replaces the settings file in one step.
+    void write_settings() {
+        const std::filesystem::path next = this->settings_path.string() + ".next";
+        std::ofstream(next) << this->settings.dump(2);
+        std::filesystem::rename(next, this->settings_path);
+    }
+
     void start() {
-        std::ofstream(this->settings_path) << this->settings.dump(2);
+        this->write_settings();
         std::vector<std::string> variables{"CASSIASPAN_NODE_FILE=" + this->settings_path.string()};
         for (const char* each : {"PATH", "HOME", "LANG"}) {
             if (const char* value = std::getenv(each)) {
