--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <atomic>
 #include <cctype>
 #include <chrono>
@@ -28,6 +29,7 @@
 #include <random>
 #include <set>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <sys/socket.h>
 #include <sys/wait.h>
