Bound the bytes that are kept until they can be parsed

What callers saw: all requests on a VM ended without an answer when one target sent bytes without a line end in place of a chunk's size.

Cause: limits of headers and bodies bound what Beast's parser hands on. The header of a chunk and the trailer stay in the connection's read buffer until they are complete, and that buffer had no limit. The same held for requests of callers and of relaying VMs, for lookups, and for responses of the store. A VM that serves changes accepted 256 streams of 1 MB each on one connection.

Change: each read buffer has a limit; for callers, a too long part is a malformed request (400). A connection for changes accepts 4 requests of 1 KiB.

The fix works because the read fails once the buffer is full, whatever the parser waits for.

--- a/packages/h2/h2_session.cpp
+++ b/packages/h2/h2_session.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::string_view code_header = "x-cassiaspan-code";
-// Streams that one peer may have open at a time.
-constexpr std::uint32_t max_streams = 256;
 
 nghttp2_nv make_header(std::string_view name, std::string_view value) {
     // nghttp2 copies both unless told otherwise; it only lacks the const.
@@ -77,7 +75,7 @@
     }
 
     static std::unique_ptr<h2_session> make(message_handler on_message, bool server,
-                                            std::size_t max_message_bytes) {
+                                            std::size_t max_message_bytes, std::uint32_t max_streams) {
         std::unique_ptr<h2_session> self(new h2_session(std::move(on_message), max_message_bytes));
         self->is_server = server;
         nghttp2_session_callbacks* hooks = nullptr;
@@ -102,13 +100,14 @@
     }
 };
 
-std::unique_ptr<h2_session> h2_session::make_server(message_handler on_message) {
-    return callbacks::make(std::move(on_message), true, max_peer_message_bytes);
+std::unique_ptr<h2_session> h2_session::make_server(message_handler on_message, std::size_t max_message_bytes,
+                                                    std::uint32_t max_streams) {
+    return callbacks::make(std::move(on_message), true, max_message_bytes, max_streams);
 }
 
 std::unique_ptr<h2_session> h2_session::make_client(message_handler on_message,
                                                     std::size_t max_message_bytes) {
-    return callbacks::make(std::move(on_message), false, max_message_bytes);
+    return callbacks::make(std::move(on_message), false, max_message_bytes, default_max_streams);
 }
 
 h2_session::~h2_session() {
--- a/packages/h2/h2_session.h
+++ b/packages/h2/h2_session.h
@@ -15,6 +15,9 @@
 // Default limit of a message between VMs, in bytes: a value of the store and its wrapping.
 constexpr std::size_t max_peer_message_bytes = (1U << 20U) + (64U << 10U);
 
+// Default limit of the streams that one peer may have open at a time.
+constexpr std::uint32_t default_max_streams = 256;
+
 // A message with its authentication code.
 struct peer_message {
     std::string code;
@@ -30,8 +33,10 @@
     using message_handler = std::function<void(std::int32_t stream, peer_message message)>;
 
     // Starts a session for the side that accepted or opened the connection. A message of more bytes than
-    // `max_message_bytes` ends the session.
-    static std::unique_ptr<h2_session> make_server(message_handler on_message);
+    // `max_message_bytes` ends the session. The other side may have `max_streams` requests open at a time.
+    static std::unique_ptr<h2_session> make_server(message_handler on_message,
+                                                   std::size_t max_message_bytes = max_peer_message_bytes,
+                                                   std::uint32_t max_streams = default_max_streams);
     static std::unique_ptr<h2_session> make_client(message_handler on_message,
                                                    std::size_t max_message_bytes = max_peer_message_bytes);
     ~h2_session();
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -18,6 +18,9 @@
 // the caller and the request can be retried.
 constexpr std::size_t max_buffered_body_bytes = std::size_t{512} * 1024;
 constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
+// Limit of the bytes of a body that are kept until they can be parsed: a chunk's size with its extensions, or
+// the trailer.
+constexpr std::size_t max_unparsed_body_bytes = std::size_t{32} * 1024;
 // How long further bytes of the caller are read and discarded before the socket is closed. Closing a socket
 // with unread bytes sends a reset, which can make the caller lose the last response.
 constexpr milliseconds lingering_close_timeout{500};
@@ -305,6 +308,8 @@
     parser.header_limit(static_cast<std::uint32_t>(
         std::min<std::size_t>(max_header_bytes, std::numeric_limits<std::uint32_t>::max())));
     parser.body_limit(limits.max_body_bytes);
+    // The parser limits the header itself.
+    state.buffer.max_size(std::numeric_limits<std::size_t>::max());
     error_code error;
     {
         const socket_timeout timeout(state.core, state.socket, limits.header_timeout);
@@ -405,6 +410,7 @@
     if (const auto content_length = parser.content_length()) {
         request.body_length = *content_length;
     }
+    state.buffer.max_size(std::max(state.buffer.size(), max_unparsed_body_bytes));
     const error_code body_error = co_await read_body(state, parser, request.body, max_buffered_body_bytes);
     parse_caller_headers(state.core, request);
     state.request_id = request.id;
--- a/packages/proxy/simple_http_service.cpp
+++ b/packages/proxy/simple_http_service.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds idle_timeout{5000};
 constexpr milliseconds client_silence_timeout{3000};
 constexpr std::uint32_t max_request_header_bytes = 8 * 1024;
+// Limit of the bytes of a request that are kept until they can be parsed.
+constexpr std::size_t max_unparsed_request_bytes = 2 * std::size_t{max_request_header_bytes};
 // How long a caller may cache a lookup reply; short, so that callers soon stop using a VM that has ended.
 constexpr seconds lookup_ttl{1};
 
@@ -20,7 +22,7 @@
 asio::awaitable<void> serve_connection(node_core& core, std::shared_ptr<tcp::socket> socket,
                                        simple_handler handler) {
     set_tcp_options(*socket, client_silence_timeout);
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(max_unparsed_request_bytes);
     bool keep_alive = true;
     while (keep_alive) {
         const socket_timeout timeout(core, socket, idle_timeout);
--- a/packages/proxy/store_sync.cpp
+++ b/packages/proxy/store_sync.cpp
@@ -25,6 +25,10 @@
 // may_start_pull(). On a full link, a round trip may take some seconds.
 constexpr milliseconds pull_timeout{10'000};
 constexpr milliseconds peer_socket_timeout{10'000};
+// Limits of a connection's requests, which consist of a position. Each has a reply that holds up to all
+// items.
+constexpr std::size_t max_request_bytes = 1024;
+constexpr std::uint32_t max_open_requests = 4;
 // Limit of a reply. It holds all items of the store if the requesting VM has none of them.
 constexpr std::size_t max_reply_bytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
@@ -78,11 +82,13 @@
 asio::awaitable<void> serve_peer(node_core& core, std::shared_ptr<tcp::socket> socket) {
     set_tcp_options(*socket, peer_socket_timeout);
     std::unique_ptr<h2_session> session;
-    session = h2_session::make_server([&core, &session](std::int32_t stream, const peer_message& request) {
-        if (request.code == changes_code) {
-            session->submit_reply(stream, {changes_code, serialize_changes_reply(core, request.body)});
-        }
-    });
+    session = h2_session::make_server(
+        [&core, &session](std::int32_t stream, const peer_message& request) {
+            if (request.code == changes_code) {
+                session->submit_reply(stream, {changes_code, serialize_changes_reply(core, request.body)});
+            }
+        },
+        max_request_bytes, max_open_requests);
     const socket_timeout timeout(core, socket, connection_time_limit);
     bool is_ok = true;
     while (is_ok) {
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t max_buffered_response_bytes = std::size_t{64} * 1024;
 constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
 constexpr std::uint32_t max_response_header_bytes = 64 * 1024;
+static_assert(max_response_header_bytes < max_unparsed_response_bytes);
 // Requests up to this size fit into the socket's send buffer: they are written completely before the response
 // is read.
 constexpr std::size_t max_inline_request_bytes = std::size_t{8} * 1024;
--- a/packages/proxy/target_table.h
+++ b/packages/proxy/target_table.h
@@ -19,12 +19,16 @@
 
 namespace cassiaspan {
 
+// Limit of the bytes of a response that are kept until they can be parsed: the header, or in a chunked body a
+// chunk's size with its extensions, or the trailer.
+constexpr std::size_t max_unparsed_response_bytes = std::size_t{96} * 1024;
+
 // A connection to a target.
 struct target_connection {
     explicit target_connection(asio::io_context& context) : socket(context) {}
     tcp::socket socket;
     // Bytes that were read from the socket but not parsed yet.
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_unparsed_response_bytes};
     // When the last response on the connection ended.
     instant last_used;
     // How long the target keeps the connection open while it is idle, from its Keep-Alive header; 0 if
