List no partial changes across a read of the whole store

Cause: a read of the whole store brings no removals. The mirror took over its position without noting that it cannot list the removals since it was last complete, so a puller that was behind got the later items only and missed the removals for good.

A puller whose position lies in it gets the whole mirror, as after pruned removals, which VMs of earlier versions understand too. A VM whose pages show items ahead of its position requests all changes. VMs of earlier versions do not keep the gap, so a VM states in its record that it announces only a verified mirror; others are pulled from only while the store cannot be reached, all changes are requested then, and the mirror is neither announced nor served until the whole store has been read. They do not count as readers of the store for a VM of this version.

What a whole mirror costs is not measured yet.

--- a/packages/policy/store_mirror.cpp
+++ b/packages/policy/store_mirror.cpp
@@ -39,7 +39,12 @@
             applied.push_back({key, item});
         }
     }
-    mirror.position = std::max(mirror.position, position);
+    if (position > mirror.position) {
+        mirror.pruned_position = std::max(mirror.pruned_position, mirror.after_snapshot);
+        mirror.before_snapshot = mirror.position;
+        mirror.after_snapshot = position;
+        mirror.position = position;
+    }
     return applied;
 }
 
@@ -54,6 +59,17 @@
     return applied;
 }
 
+bool knows_changes_since(const store_mirror& mirror, store_position position) {
+    const bool is_beside_snapshot = position <= mirror.before_snapshot || position >= mirror.after_snapshot;
+    return position.epoch >= mirror.position.epoch && position >= mirror.pruned_position &&
+           is_beside_snapshot;
+}
+
+bool has_items_ahead(const store_mirror& mirror) {
+    return std::any_of(mirror.items.begin(), mirror.items.end(),
+                       [&mirror](const auto& entry) { return entry.second.position > mirror.position; });
+}
+
 std::vector<store_change> changes_since(const store_mirror& mirror, store_position position) {
     std::vector<store_change> changes;
     for (const auto& [key, item] : mirror.items) {
--- a/packages/policy/store_mirror.h
+++ b/packages/policy/store_mirror.h
@@ -37,6 +37,10 @@
     store_position position;
     // Tombstones up to this position may have been pruned.
     store_position pruned_position;
+    // The last snapshot that was ahead of the replica: the positions before and after it. Items that were
+    // written and removed in between have left no tombstones.
+    store_position before_snapshot;
+    store_position after_snapshot;
 };
 
 // Applies one change. Returns false if the mirror already has the same or a later write of the key, or if the
@@ -58,6 +62,14 @@
 // call this only some time after the epoch has changed. Returns the removals.
 [[nodiscard]] std::vector<store_change> remove_items_of_earlier_epochs(store_mirror& mirror);
 
+// Returns whether the mirror knows all changes after `position`, so that they bring a replica that is
+// complete up to there to the position of the mirror.
+[[nodiscard]] bool knows_changes_since(const store_mirror& mirror, store_position position);
+
+// Returns whether the mirror contains items that are newer than its position. It may lack other changes up to
+// theirs.
+[[nodiscard]] bool has_items_ahead(const store_mirror& mirror);
+
 // Returns the changes after `position`, including removals, oldest first.
 [[nodiscard]] std::vector<store_change> changes_since(const store_mirror& mirror, store_position position);
 
--- a/packages/proxy/fleet_hubs.cpp
+++ b/packages/proxy/fleet_hubs.cpp
@@ -18,8 +18,10 @@
     return peer.accepting || !peer.last_heard.has_value();
 }
 
-bool is_in_earlier_epoch(const peer_vm& peer, const node_core& core) {
-    return peer.last_heard.has_value() && peer.mirror_position.epoch < core.mirror.position.epoch;
+// Returns whether this VM cannot take changes of the store from the peer.
+bool is_outdated(const peer_vm& peer, const node_core& core) {
+    return peer.last_heard.has_value() &&
+           (!peer.announces_verified_mirror || peer.mirror_position.epoch < core.mirror.position.epoch);
 }
 
 // A candidate for the hubs of an availability zone.
@@ -29,7 +31,8 @@
     // The VM accepts requests: it is not starting or stopping.
     bool is_accepting = true;
     store_access access = store_access::not_reading;
-    // The VM reports an earlier epoch of the store than this VM, as versions do that know no epochs.
+    // The VM is of a version whose mirror is not verified, or reports an earlier epoch of the store than this
+    // VM, as versions do that know no epochs.
     bool is_outdated = false;
 };
 
@@ -53,8 +56,8 @@
     }
     for (const auto& [name, peer] : core.peers.by_name) {
         if (peer.availability_zone == availability_zone && is_presumed_alive(peer, now)) {
-            candidates.push_back({name, peer.link_mbps, is_presumed_accepting(peer), peer.access,
-                                  is_in_earlier_epoch(peer, core)});
+            candidates.push_back(
+                {name, peer.link_mbps, is_presumed_accepting(peer), peer.access, is_outdated(peer, core)});
         }
     }
     std::sort(candidates.begin(), candidates.end(), is_preferred);
--- a/packages/proxy/node_core.cpp
+++ b/packages/proxy/node_core.cpp
@@ -186,6 +186,7 @@
         new_changes = merge_changes(core.mirror, read.changes);
         core.mirror.position = std::max(core.mirror.position, read.position);
     }
+    core.mirror_is_verified = read.is_verified && (core.mirror_is_verified || read.is_snapshot);
     const instant now = now_of(core);
     const bool is_later_epoch = core.mirror.position.epoch > previous.epoch;
     if (is_later_epoch) {
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -115,6 +115,10 @@
 
     // Local copy of the store.
     store_mirror mirror;
+    // Whether the mirror is known to lack no removal: it was read from the store, or taken from VMs whose
+    // mirrors are verified. Not so after changes from a VM of an earlier version, until the whole store has
+    // been read again.
+    bool mirror_is_verified = true;
     // How long the mirror has lacked changes that a live peer has.
     mirror_lag lag;
     // From when on the mirror's items of earlier epochs may be removed; unset if there are none.
@@ -193,6 +197,8 @@
     store_position position;
     // `changes` contains all items.
     bool is_snapshot = false;
+    // Read from the store or from a verified mirror.
+    bool is_verified = true;
 };
 
 // Merges what was read into the mirror and applies the changes that are new. When the read is the first one
@@ -222,6 +228,12 @@
 // Logs an exception that ended a background task or the handling of a connection. `what` names the task.
 void log_exception(node_core& core, std::string_view what, const std::exception_ptr& exception);
 
+// Returns the position of the mirror for other VMs, which may take changes from this VM; zero while the
+// mirror is not verified.
+[[nodiscard]] inline store_position announced_mirror_position(const node_core& core) {
+    return core.mirror_is_verified ? core.mirror.position : store_position{};
+}
+
 // Returns whether the VM advertises itself as ready for new requests.
 [[nodiscard]] inline bool is_accepting(const node_core& core) {
     return core.phase == node_phase::serving;
--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -52,6 +52,8 @@
     std::uint32_t link_mbps = 0;
     // Must be sent with requests to `relay_address`.
     std::uint64_t relay_key = 0;
+    // Whether the VM announces the position of its mirror only while the mirror is verified; see node_core.
+    bool announces_verified_mirror = false;
     // Whether the store contains the VM's record.
     bool has_store_record = false;
 
--- a/packages/proxy/store_sync.cpp
+++ b/packages/proxy/store_sync.cpp
@@ -36,19 +36,29 @@
 constexpr milliseconds connection_time_limit{20'000};
 
 // Returns the serialized reply to a serialized request. A request that cannot be parsed gets all changes.
+// While the mirror is not verified, the reply is empty and thereby not newer than any mirror.
 std::string serialize_changes_reply(const node_core& core, const std::string& serialized_request) {
     schema::StoreChangesRequest request;
     const bool is_valid = request.ParseFromString(serialized_request);
     const store_position position =
         is_valid ? store_position{request.epoch(), request.revision()} : store_position{};
-    return make_changes_reply(core.mirror, position).SerializeAsString();
+    return core.mirror_is_verified ? make_changes_reply(core.mirror, position).SerializeAsString()
+                                   : std::string();
 }
 
-// Returns the serialized request for the changes after the mirror's position.
-std::string serialize_changes_request(const node_core& core) {
+// Returns the position whose later changes are to be requested from a peer: zero for all changes, if the
+// peer's mirror or this VM's may contain items that were removed.
+store_position choose_requested_position(const node_core& core, bool peer_is_verified) {
+    const bool needs_all_changes =
+        !peer_is_verified || !core.mirror_is_verified || has_items_ahead(core.mirror);
+    return needs_all_changes ? store_position{} : core.mirror.position;
+}
+
+// Returns the serialized request for the changes after the position.
+std::string serialize_changes_request(store_position position) {
     schema::StoreChangesRequest request;
-    request.set_epoch(core.mirror.position.epoch);
-    request.set_revision(core.mirror.position.revision);
+    request.set_epoch(position.epoch);
+    request.set_revision(position.revision);
     return request.SerializeAsString();
 }
 
@@ -107,6 +117,10 @@
     instant started_at;
     instant last_progress;
     bool is_connected = false;
+    // The peer announces only a verified mirror.
+    bool peer_is_verified = false;
+    // All changes were requested.
+    bool has_all_changes = false;
     std::size_t received_bytes = 0;
     // The changes have arrived from elsewhere, or the peer is silent.
     bool is_obsolete = false;
@@ -132,34 +146,47 @@
                        [&peer](const auto& pull) { return pull->peer == peer; });
 }
 
-// Returns the peer if it is alive and has a newer mirror, otherwise null.
+// Returns whether changes may be requested from the peer. One whose mirror is not verified is the last resort
+// of a VM that cannot reach the store.
+bool is_permitted_source(const node_core& core, const peer_vm& peer) {
+    return is_alive(peer, now_of(core)) && (peer.announces_verified_mirror || core.store_is_unavailable);
+}
+
+// Returns the peer if changes may be requested from it and it has a newer mirror, otherwise null.
 const peer_vm* find_sync_source(const node_core& core, const std::string& name) {
     const auto found = core.peers.by_name.find(name);
-    const bool is_usable = found != core.peers.by_name.end() && is_alive(found->second, now_of(core)) &&
+    const bool is_usable = found != core.peers.by_name.end() && is_permitted_source(core, found->second) &&
                            found->second.mirror_position > core.mirror.position;
     return is_usable ? &found->second : nullptr;
 }
 
-// Returns a live peer with a newer mirror that has no pending request; null if there is none. The peer whose
-// request failed last is only chosen if there is no other.
-const peer_vm* choose_sync_source(node_core& core, const pull_state& pulls) {
-    const instant now = now_of(core);
+// Returns a permitted source with a newer mirror that has no pending request, and whose mirror is verified or
+// not; null if there is none. The peer whose request failed last is not chosen.
+const peer_vm* choose_sync_source_among(node_core& core, const pull_state& pulls, bool verified) {
     std::vector<const peer_vm*> peers;
     std::vector<change_source> sources;
     for (const auto& entry : core.peers.by_name) {
         const peer_vm& peer = entry.second;
-        if (is_alive(peer, now) && !has_pending_pull(pulls, peer.name) && peer.name != pulls.failed_peer) {
+        if (peer.announces_verified_mirror == verified && is_permitted_source(core, peer) &&
+            !has_pending_pull(pulls, peer.name) && peer.name != pulls.failed_peer) {
             peers.push_back(&peer);
             sources.push_back({peer.mirror_position, peer.region == core.settings.region});
         }
     }
     const std::optional<std::size_t> chosen =
         choose_change_source(sources, core.mirror.position, core.random());
-    if (!chosen.has_value()) {
-        return has_pending_pull(pulls, pulls.failed_peer) ? nullptr
-                                                          : find_sync_source(core, pulls.failed_peer);
+    return chosen.has_value() ? peers[chosen.value()] : nullptr;
+}
+
+// Returns a permitted source with a newer mirror that has no pending request; null if there is none. Those
+// with a verified mirror come first. The peer whose request failed last is only chosen if there is no other.
+const peer_vm* choose_sync_source(node_core& core, const pull_state& pulls) {
+    for (const bool verified : {true, false}) {
+        if (const peer_vm* chosen = choose_sync_source_among(core, pulls, verified)) {
+            return chosen;
+        }
     }
-    return peers[chosen.value()];
+    return has_pending_pull(pulls, pulls.failed_peer) ? nullptr : find_sync_source(core, pulls.failed_peer);
 }
 
 // Ends the requests to peers that are silent or not known to be ahead any more.
@@ -189,7 +216,9 @@
     const auto session = h2_session::make_client(
         [&reply](std::int32_t /*stream*/, peer_message message) { reply = std::move(message.body); },
         max_reply_bytes);
-    bool is_ok = session->submit_request({changes_code, serialize_changes_request(core)}) >= 0;
+    const store_position requested = choose_requested_position(core, pull.peer_is_verified);
+    pull.has_all_changes = requested == store_position{};
+    bool is_ok = session->submit_request({changes_code, serialize_changes_request(requested)}) >= 0;
     while (is_ok && !reply) {
         pull.last_progress = now_of(core);
         timeout.emplace(core, pull.socket, pull_timeout);
@@ -210,7 +239,7 @@
     schema::StoreChanges reply;
     const bool is_ok = body && reply.ParseFromString(*body);
     if (is_ok) {
-        apply_changes_reply(core, reply);
+        apply_changes_reply(core, reply, pull->has_all_changes);
         abandon_obsolete_pulls(core, *pulls);
         pulls->failed_peer.clear();
     } else if (!pull->is_obsolete) {
@@ -237,7 +266,8 @@
     schema::StoreChanges reply;
     reply.set_epoch(mirror.position.epoch);
     reply.set_revision(mirror.position.revision);
-    reply.set_complete(position < mirror.pruned_position || position.epoch < mirror.position.epoch);
+    reply.set_verified(true);
+    reply.set_complete(!knows_changes_since(mirror, position));
     for (const store_change& change : changes_since(mirror, reply.complete() ? store_position{} : position)) {
         schema::StoreChange& encoded = *reply.add_changes();
         encoded.set_key(change.key);
@@ -249,9 +279,10 @@
     return reply;
 }
 
-void apply_changes_reply(node_core& core, const schema::StoreChanges& reply) {
+void apply_changes_reply(node_core& core, const schema::StoreChanges& reply, bool has_all_changes) {
     const store_position position{reply.epoch(), reply.revision()};
-    if (position <= core.mirror.position) {
+    const bool is_snapshot = reply.complete() || has_all_changes;
+    if (position <= core.mirror.position || (!reply.verified() && !is_snapshot)) {
         return;
     }
     std::vector<store_change> changes;
@@ -260,7 +291,7 @@
         changes.push_back({encoded.key(), {encoded.value(), change_position, encoded.removed()}});
     }
     ++core.metrics.news_pulled;
-    merge_store_read(core, {changes, position, reply.complete()});
+    merge_store_read(core, {changes, position, is_snapshot, reply.verified()});
 }
 
 asio::awaitable<void> serve_store_sync(node_core& core, tcp::acceptor& acceptor) {
@@ -290,6 +321,7 @@
             auto pull = std::make_shared<store_pull>();
             pull->peer = source->name;
             pull->socket = std::make_shared<tcp::socket>(core.context);
+            pull->peer_is_verified = source->announces_verified_mirror;
             pull->started_at = now;
             pull->last_progress = now;
             pulls->pending.push_back(pull);
--- a/packages/proxy/store_sync.h
+++ b/packages/proxy/store_sync.h
@@ -14,12 +14,14 @@
 // returns.
 asio::awaitable<void> pull_store_changes(node_core& core);
 
-// Returns the changes after `position`. If the changes after it are not all known, because removals were
-// pruned or the store was restored since, returns the whole mirror and marks the reply as complete.
+// Returns the changes after `position` of a verified mirror. If the changes after it are not all known,
+// because removals were pruned, the whole store was read or it was restored since, returns the whole mirror
+// and marks the reply as complete.
 [[nodiscard]] schema::StoreChanges make_changes_reply(const store_mirror& mirror, store_position position);
 
-// Merges a reply into the mirror and applies the changes that are new. Ignores a reply that is not newer than
-// the mirror.
-void apply_changes_reply(node_core& core, const schema::StoreChanges& reply);
+// Merges a reply into the mirror and applies the changes that are new. `has_all_changes` states that all were
+// requested, so that the reply holds the whole mirror even if it is not marked as complete. Ignores a reply
+// that is not newer than the mirror, and one with a part of a mirror that is not verified.
+void apply_changes_reply(node_core& core, const schema::StoreChanges& reply, bool has_all_changes = false);
 
 } // namespace cassiaspan
--- a/packages/proxy/store_watcher.cpp
+++ b/packages/proxy/store_watcher.cpp
@@ -115,12 +115,15 @@
     }
 }
 
-// Watches for changes until those after the mirror's position are unknown to the store, so that the whole
-// store must be read again. Retries failed calls with backoff.
+// Watches for changes until those after the mirror's position are unknown to the store, or the mirror is not
+// verified, so that the whole store must be read again. Retries failed calls with backoff.
 asio::awaitable<void> watch_changes(node_core& core, metadata_store& store) {
     milliseconds retry_delay = initial_retry_delay;
     for (;;) {
         co_await wait_for_reader_role(core);
+        if (!core.mirror_is_verified) {
+            co_return;
+        }
         // The first call after a failure, or by a new reader, does not wait: it shows whether the store can
         // be reached.
         const milliseconds wait =
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -149,9 +149,10 @@
         // A VM that restarts keeps its addresses. Hubs forward reports without them.
         record = make_peer_record(known);
         record.set_incarnation(sender.incarnation());
-        // The key of the new incarnation follows with its addresses.
+        // What another incarnation has changed follows with its addresses.
         record.clear_relay_address();
         record.clear_relay_key();
+        record.clear_announces_verified_copy();
     }
     peer_vm* peer = update_peer_record(core.peers, record, now_of(core));
     if (peer != nullptr && peer->incarnations.current != known_incarnation) {
@@ -202,6 +203,7 @@
     record.set_gossip_address(format_address(core.settings.gossip_address));
     record.set_incarnation(core.incarnation);
     record.set_link_mbps(core.settings.link_mbps);
+    record.set_announces_verified_copy(true);
     if (core.settings.relay_address.port != 0) {
         record.set_relay_address(format_address(core.settings.relay_address));
         record.set_relay_key(core.relay_key);
@@ -219,6 +221,7 @@
     record.set_gossip_address(format_address(peer.gossip_address));
     record.set_incarnation(peer.incarnations.current);
     record.set_link_mbps(peer.link_mbps);
+    record.set_announces_verified_copy(peer.announces_verified_mirror);
     if (peer.relay_address.port != 0) {
         record.set_relay_address(format_address(peer.relay_address));
         record.set_relay_key(peer.relay_key);
@@ -237,8 +240,9 @@
     }
     gossip.set_sequence(sequence);
     gossip.set_accepting(is_accepting(core));
-    gossip.set_store_epoch(core.mirror.position.epoch);
-    gossip.set_store_revision(core.mirror.position.revision);
+    const store_position announced = announced_mirror_position(core);
+    gossip.set_store_epoch(announced.epoch);
+    gossip.set_store_revision(announced.revision);
     gossip.set_store_access(encode_access(core.own_store_access));
     add_target_uses(*gossip.mutable_target_uses(), own_target_uses(core));
     for (const auto& [name, budget] : core.workspaces) {
--- a/test/correctness/store_mirror_test.cpp
+++ b/test/correctness/store_mirror_test.cpp
@@ -121,6 +121,54 @@
     unsigned seed;
 };
 
+// A mirror that has read the whole store at these positions, after it was complete up to the positions before
+// them, and whether it knows all changes since another position.
+struct snapshot_row {
+    std::string name;
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> snapshots;
+    std::uint64_t position;
+    bool is_known;
+};
+
+// Guards against removals that never reach another replica: a snapshot lacks those of items that were written
+// and removed since the replica was last complete.
+void check_snapshot(const snapshot_row& row) {
+    store_mirror mirror;
+    for (const auto& [before, after] : row.snapshots) {
+        mirror.position = std::max(mirror.position, {0, before});
+        static_cast<void>(merge_snapshot(mirror, {}, {0, after}));
+    }
+    CPPUNIT_ASSERT_EQUAL(row.is_known, knows_changes_since(mirror, {0, row.position}));
+}
+
+const test_table<snapshot_row> snapshots("store_mirror changes beside a snapshot",
+                                         {{"an empty replica, of a first one", {{0, 9}}, 0, true},
+                                          {"before a first one", {{0, 9}}, 1, false},
+                                          {"just before a first one", {{0, 9}}, 8, false},
+                                          {"at a first one", {{0, 9}}, 9, true},
+                                          {"before the gap", {{5, 9}}, 4, true},
+                                          {"at the begin of the gap", {{5, 9}}, 5, true},
+                                          {"in the gap", {{5, 9}}, 6, false},
+                                          {"at the end of the gap", {{5, 9}}, 9, true},
+                                          {"in the gap of an earlier one", {{2, 5}, {7, 9}}, 3, false},
+                                          {"between two", {{2, 5}, {7, 9}}, 6, true},
+                                          {"beside an outdated one", {{5, 9}, {9, 7}}, 8, false},
+                                          {"after an outdated one", {{0, 0}, {9, 7}}, 8, true}},
+                                         check_snapshot);
+
+void items_ahead_of_the_position_are_found() {
+    store_mirror mirror;
+    merge_change(mirror, put("a", 5));
+    mirror.position = {0, 5};
+    CPPUNIT_ASSERT(!has_items_ahead(mirror));
+    static_cast<void>(merge_snapshot(mirror, {put("a", 5), put("b", 8)}, {0, 7}));
+    CPPUNIT_ASSERT(has_items_ahead(mirror));
+}
+
+const test_table<scenario> ahead("store_mirror items",
+                                 {{"ahead of the position are found", items_ahead_of_the_position_are_found}},
+                                 run_scenario);
+
 // Changes delivered in a random order and with duplicates must lead to the same mirror.
 void check_order(const order_row& row) {
     std::mt19937 random(row.seed);
