Read fractions in settings, entries and configurations

Cause: durations in seconds were read as integers, although the platform specifies bounds as whole numbers or fractions; 6.0 was refused as well. So were idle and header timeouts with a fraction in a configuration, and whole numbers that are written with a fraction in entries, configurations and responses of the store.

--- a/packages/policy/retry_budget.h
+++ b/packages/policy/retry_budget.h
@@ -14,7 +14,7 @@
 struct retry_budget_limits {
     double ratio = 0;
     double slack = 0;
-    seconds window{10};
+    milliseconds window{10'000};
     auto operator<=>(const retry_budget_limits&) const = default;
 };
 
--- a/packages/proxy/node_settings.h
+++ b/packages/proxy/node_settings.h
@@ -48,7 +48,7 @@
     // Time between SIGTERM and SIGKILL.
     milliseconds stop_grace{6000};
     // Maximum time for which callers may cache a lookup reply.
-    seconds max_lookup_ttl{5};
+    milliseconds max_lookup_ttl{5000};
     // Bandwidth of the VM's link in Mbit/s; 0 if the platform does not provide it.
     std::uint32_t link_mbps = 0;
     // Maximum number of open file descriptors of the process.
--- a/packages/proxy/platform_adapter.h
+++ b/packages/proxy/platform_adapter.h
@@ -90,7 +90,7 @@
     [[nodiscard]] virtual std::optional<lookup_query> parse_lookup(std::string_view request_target) const = 0;
     // Returns the JSON body of a lookup reply. `ttl` is how long the caller may cache it.
     [[nodiscard]] virtual std::string render_lookup_reply(const std::vector<socket_address>& addresses,
-                                                          seconds ttl) const = 0;
+                                                          milliseconds ttl) const = 0;
 };
 
 } // namespace cassiaspan
--- a/packages/proxy/simple_http_service.cpp
+++ b/packages/proxy/simple_http_service.cpp
@@ -16,7 +16,7 @@
 // Limit of the bytes of a request that are kept until they can be parsed.
 constexpr std::size_t max_unparsed_request_bytes = 2 * std::size_t{max_request_header_bytes};
 // How long a caller may cache a lookup reply; short, so that callers soon stop using a VM that has ended.
-constexpr seconds lookup_ttl{1};
+constexpr milliseconds lookup_ttl{1000};
 
 // Serves requests on one connection until it is closed, fails or times out.
 asio::awaitable<void> serve_connection(node_core& core, std::shared_ptr<tcp::socket> socket,
