Break off no request before the last sixth of a short grace period

What callers saw: 504 for requests at which a target was working, when a VM with a grace period below 2.4 s was stopped as planned (LOST: an own answer in place of that of a target at work, before the last sixth of the period).

Cause: the last answers were due a fixed 400 ms before the end of the grace period, and the exit 250 ms before it. The sites have periods of 6 and 10 s, for which that lies in the last sixth.

Change: both margins are at most a part of the grace period. The stop counts from when the signal arrived, not from when a delayed event loop handled it, so that a busy VM is not killed before its last answers.

That the signal is counted from its arrival has no test of its own.

--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -29,10 +29,13 @@
 constexpr int announcement_grace_divisor = 3;
 constexpr milliseconds max_announcement_time{2500};
 // The process exits this long before the end of the grace period, when it would be killed.
-constexpr milliseconds forced_stop_margin{250};
+constexpr milliseconds max_exit_margin{250};
+constexpr int exit_margin_grace_divisor = 10;
 // Requests that are still being forwarded are answered this long before the end of the grace period. Later,
-// their connections would be closed without an answer.
-constexpr milliseconds last_answers_margin{400};
+// their connections would be closed without an answer. Before the last sixth of the period, a request at
+// which a target works must not be broken off.
+constexpr milliseconds max_last_answers_margin{400};
+constexpr int last_answers_grace_divisor = 6;
 constexpr milliseconds stop_poll_interval{50};
 
 // Lateness up to this is normal timer inaccuracy and is not counted as loop delay.
@@ -223,8 +226,12 @@
     // then refuses new ones, waits for those in progress, answers those that take too long, and stops the
     // event loop.
     asio::awaitable<void> stop() {
-        const instant stop_started = now_of(this->core);
+        // The signal was waiting for about as long as the event loop is delayed.
+        const instant stop_started = now_of(this->core) - this->core.loop_delay;
         const milliseconds grace = this->core.settings.stop_grace;
+        const milliseconds exit_time = grace - std::min(max_exit_margin, grace / exit_margin_grace_divisor);
+        const milliseconds last_answers_time =
+            grace - std::min(max_last_answers_margin, grace / last_answers_grace_divisor);
         this->core.phase = node_phase::stop_announced;
         this->gossip.announce();
         this->core.log.write(stop_started, node_event::stopping,
@@ -240,9 +247,8 @@
         });
         // The new connections' requests are in progress once they have been read.
         co_await sleep_for(this->core.context, stop_poll_interval);
-        while (this->core.requests_in_progress > 0 &&
-               now_of(this->core) - stop_started < grace - forced_stop_margin) {
-            if (now_of(this->core) - stop_started >= grace - last_answers_margin) {
+        while (this->core.requests_in_progress > 0 && now_of(this->core) - stop_started < exit_time) {
+            if (now_of(this->core) - stop_started >= last_answers_time) {
                 this->cancel_requests();
             }
             co_await sleep_for(this->core.context, stop_poll_interval);
