Schedule a planned stop so that a delayed signal breaks off no request early

New requests, on the other hand, were accepted for the full time after the handling, so that they could be sent later than the rule excuses when they are cut.

Change: policy/stop_schedule computes the three times. The last answers are never before the last sixth as counted from the handling, the refusal of new requests and the exit move forward by the delay.

Evidence: "stop_schedule" 7 passed, "planned stop" 7 passed, 0 failed. Without a delay the times are as before. No play with a delayed loop was made.

--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -8,6 +8,7 @@
 #include "region_balance.h"
 #include "relay.h"
 #include "simple_http_service.h"
+#include "stop_schedule.h"
 #include "store_sync.h"
 #include "store_watcher.h"
 #include "target_connections.h"
@@ -24,18 +25,6 @@
 constexpr milliseconds housekeeping_interval{200};
 constexpr milliseconds deadline_check_interval{25};
 constexpr milliseconds log_flush_interval{100};
-// After a planned stop is announced, new requests are still accepted for 1/3 of the stop grace period, at
-// most `max_announcement_time`, so that callers can learn that the VM is leaving.
-constexpr int announcement_grace_divisor = 3;
-constexpr milliseconds max_announcement_time{2500};
-// The process exits this long before the end of the grace period, when it would be killed.
-constexpr milliseconds max_exit_margin{250};
-constexpr int exit_margin_grace_divisor = 10;
-// Requests that are still being forwarded are answered this long before the end of the grace period. Later,
-// their connections would be closed without an answer. Before the last sixth of the period, a request at
-// which a target works must not be broken off.
-constexpr milliseconds max_last_answers_margin{400};
-constexpr int last_answers_grace_divisor = 6;
 constexpr milliseconds stop_poll_interval{50};
 
 // Lateness up to this is normal timer inaccuracy and is not counted as loop delay.
@@ -226,18 +215,15 @@
     // then refuses new ones, waits for those in progress, answers those that take too long, and stops the
     // event loop.
     asio::awaitable<void> stop() {
-        // The signal was waiting for about as long as the event loop is delayed.
-        const instant stop_started = now_of(this->core) - this->core.loop_delay;
-        const milliseconds grace = this->core.settings.stop_grace;
-        const milliseconds exit_time = grace - std::min(max_exit_margin, grace / exit_margin_grace_divisor);
-        const milliseconds last_answers_time =
-            grace - std::min(max_last_answers_margin, grace / last_answers_grace_divisor);
+        const instant handled_at = now_of(this->core);
+        // The signal has waited for as long as the event loop was delayed, at most.
+        const stop_schedule schedule =
+            make_stop_schedule(this->core.settings.stop_grace, this->core.loop_delay);
         this->core.phase = node_phase::stop_announced;
         this->gossip.announce();
-        this->core.log.write(stop_started, node_event::stopping,
+        this->core.log.write(handled_at, node_event::stopping,
                              log_fields().add("in_progress", this->core.requests_in_progress));
-        co_await sleep_for(this->core.context,
-                           std::min<milliseconds>(max_announcement_time, grace / announcement_grace_divisor));
+        co_await sleep_for(this->core.context, schedule.refusal);
         this->core.phase = node_phase::draining;
         this->close_listener(this->caller_acceptor, [this](std::shared_ptr<tcp::socket> socket) {
             return serve_caller_connection(this->core, std::move(socket));
@@ -247,8 +233,8 @@
         });
         // The new connections' requests are in progress once they have been read.
         co_await sleep_for(this->core.context, stop_poll_interval);
-        while (this->core.requests_in_progress > 0 && now_of(this->core) - stop_started < exit_time) {
-            if (now_of(this->core) - stop_started >= last_answers_time) {
+        while (this->core.requests_in_progress > 0 && now_of(this->core) - handled_at < schedule.exit) {
+            if (now_of(this->core) - handled_at >= schedule.last_answers) {
                 this->cancel_requests();
             }
             co_await sleep_for(this->core.context, stop_poll_interval);
