--- a/packages/h2/h2_session.cpp
+++ b/packages/h2/h2_session.cpp
@@ -90,10 +90,13 @@
             nghttp2_session_client_new(&self->session, hooks, self.get());
         }
         nghttp2_session_callbacks_del(hooks);
-        const std::array<nghttp2_settings_entry, 2> settings{
+        // A server may not send the last one.
+        const std::array<nghttp2_settings_entry, 3> settings{
             {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, max_streams},
-             {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, max_peer_message_bytes}}};
-        nghttp2_submit_settings(self->session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+             {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, max_peer_message_bytes},
+             {NGHTTP2_SETTINGS_ENABLE_PUSH, 0}}};
+        nghttp2_submit_settings(self->session, NGHTTP2_FLAG_NONE, settings.data(),
+                                server ? settings.size() - 1 : settings.size());
         nghttp2_session_set_local_window_size(self->session, NGHTTP2_FLAG_NONE, 0,
                                               4 * max_peer_message_bytes);
         return self;
