--- a/test/correctness/store_mirror_test.cpp
+++ b/test/correctness/store_mirror_test.cpp
@@ -116,11 +116,6 @@
              items_that_a_later_epoch_lacks_are_removed_separately}},
            run_scenario);
 
-struct order_row {
-    std::string name;
-    unsigned seed;
-};
-
 // A mirror that has read the whole store at these positions, after it was complete up to the positions before
 // them, and whether it knows all changes since another position.
 struct snapshot_row {
@@ -169,6 +164,11 @@
                                  {{"ahead of the position are found", items_ahead_of_the_position_are_found}},
                                  run_scenario);
 
+struct order_row {
+    std::string name;
+    unsigned seed;
+};
+
 // Changes delivered in a random order and with duplicates must lead to the same mirror.
 void check_order(const order_row& row) {
     std::mt19937 random(row.seed);
