Choose targets by the speed that they report

Targets share their machines with others and may report, as fourth figure of their load header, how long work takes there now. So far the figure was not read: a phase in which the neighbours of a target are busy counted as slowness of the target itself, and lasted in its average until further runs there corrected it.

The expected service time at a target is the usual one of the service, times the usual ratio of the target, times the believed slowdown; requests at a target count by slot time. Measured times are divided by the slowdown that held during the run before they enter the averages. If targets report their speed, those that are nearly as good as the best and equally warm share the requests by two random choices, as all VMs see the same figures. Without a fourth figure the choices, and the use of random numbers, are as before; a test compares the state of the generator.

The ratio of a target is averaged over the medians of three successive runs, since 3 in 100 requests need seven times the work. The test "slow targets become degraded" expected that one run of five times the usual time is enough. This contradicts the requirement that one such run must not count as slowness. It is replaced by the table "slow runs": two runs of five times, five of three times, and none of a single one.

--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -16,6 +16,11 @@
 // Utilization of all candidates' slots up to which requests are spilled to cold targets with shared_homes.
 constexpr double max_spill_utilization = 0.4;
 
+// Targets whose expected latency exceeds that of the best one by up to this fraction share its requests. A
+// wider margin sends more requests to slower targets; a narrower one leaves out targets whose speed reports
+// differ only in age.
+constexpr double near_equal_margin = 0.1;
+
 // Returns the sort key of the key's target order: targets that are not degraded first, then by region rank,
 // then by rendezvous hash.
 auto preference_key(const placement_candidate& candidate, const placement_request& request) {
@@ -47,12 +52,18 @@
     return estimate;
 }
 
-// Returns the requests at all candidates over the slots of all candidates; may exceed 1.
+// Returns the load in terms of slot time: the requests at a slow target occupy its slots for longer. A fast
+// target has no more slots than it reports.
+double effective_load(const placement_candidate& candidate) {
+    return candidate.load * std::max(1.0, candidate.slowdown);
+}
+
+// Returns the effective load of all candidates over the slots of all candidates; may exceed 1.
 double compute_utilization(const std::vector<placement_candidate>& candidates) {
     double load = 0;
     double slots = 0;
     for (const placement_candidate& candidate : candidates) {
-        load += candidate.load;
+        load += effective_load(candidate);
         slots += candidate.slots;
     }
     return load / std::max(1.0, slots);
@@ -101,7 +112,7 @@
         return chosen;
     }
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const bool has_room = candidates[i].load < candidates[i].slots * (1 - spill_headroom);
+        const bool has_room = effective_load(candidates[i]) < candidates[i].slots * (1 - spill_headroom);
         if (has_room && candidates[i].identity != primary.identity &&
             (!chosen ||
              preference_key(candidates[i], request) < preference_key(candidates[*chosen], request))) {
@@ -111,6 +122,78 @@
     return chosen;
 }
 
+// What this VM knows about which candidates hold the object of the request's key.
+struct key_warmth {
+    key_homes homes;
+    bool any_recently_used = false;
+    bool is_primary_assumed_warm = false;
+    // Both homes are warm because all VMs share the key's requests between them.
+    bool are_homes_shared = false;
+};
+
+key_warmth assess_warmth(const std::vector<placement_candidate>& candidates,
+                         const placement_request& request) {
+    key_warmth warmth;
+    warmth.homes = find_homes(candidates, request);
+    warmth.any_recently_used =
+        std::any_of(candidates.begin(), candidates.end(),
+                    [](const placement_candidate& each) { return each.recently_used; });
+    warmth.is_primary_assumed_warm =
+        request.assume_primary_warm ||
+        (request.assume_joined_primary_warm && candidates[warmth.homes.primary].recently_joined) ||
+        !warmth.any_recently_used;
+    warmth.are_homes_shared = request.shared_homes && request.random.has_value();
+    return warmth;
+}
+
+// Returns whether the candidate is believed to hold the object, not counting a primary target that is taken
+// as warm only to make it so.
+bool holds_object(const key_warmth& warmth, const std::vector<placement_candidate>& candidates,
+                  const placement_request& request, std::size_t index) {
+    if (!request.key || candidates[index].recently_used) {
+        return true;
+    }
+    const bool is_home = index == warmth.homes.primary || index == warmth.homes.secondary;
+    return is_home && !candidates[index].recently_joined &&
+           (warmth.are_homes_shared || !warmth.any_recently_used);
+}
+
+// Returns whether the candidate is assessed by the service time of a warm run.
+bool is_taken_as_warm(const key_warmth& warmth, const std::vector<placement_candidate>& candidates,
+                      const placement_request& request, std::size_t index) {
+    const bool is_assumed_warm = index == warmth.homes.primary
+                                     ? warmth.is_primary_assumed_warm
+                                     : index == warmth.homes.secondary && !warmth.any_recently_used;
+    return is_assumed_warm || holds_object(warmth, candidates, request, index);
+}
+
+// Returns the less loaded one of two targets drawn at random from those that are nearly as good as `best`:
+// equally warm, in a region of the same rank, and with nearly the same expected latency. The same target may
+// be drawn twice, so that requests are shared even if there are only two targets and all VMs see the same
+// loads.
+std::size_t share_among_equals(const key_warmth& warmth, const std::vector<placement_candidate>& candidates,
+                               const placement_request& request, std::size_t best,
+                               const placement_estimate& best_estimate) {
+    std::vector<std::size_t> equals;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const placement_estimate estimate = estimate_placement(candidates[i], request, true);
+        if (holds_object(warmth, candidates, request, i) &&
+            candidates[i].degraded == candidates[best].degraded &&
+            candidates[i].region_rank == candidates[best].region_rank &&
+            estimate.has_free_slot == best_estimate.has_free_slot &&
+            estimate.latency <= best_estimate.latency * (1 + near_equal_margin)) {
+            equals.push_back(i);
+        }
+    }
+    const auto relative_load = [&](std::size_t index) {
+        return effective_load(candidates[index]) / candidates[index].slots;
+    };
+    constexpr int half_of_bits = 32;
+    const std::size_t first = equals[(*request.random >> half_of_bits) % equals.size()];
+    const std::size_t second = equals[static_cast<std::uint32_t>(*request.random) % equals.size()];
+    return relative_load(second) < relative_load(first) ? second : first;
+}
+
 } // namespace
 
 const char* to_string(placement_reason reason) {
@@ -132,24 +215,15 @@
     if (candidates.empty()) {
         return {};
     }
-    const key_homes homes = find_homes(candidates, request);
-    const placement_candidate& primary = candidates[homes.primary];
-    const bool any_recently_used =
-        std::any_of(candidates.begin(), candidates.end(),
-                    [](const placement_candidate& each) { return each.recently_used; });
-    const bool is_primary_assumed_warm = request.assume_primary_warm ||
-                                         (request.assume_joined_primary_warm && primary.recently_joined) ||
-                                         !any_recently_used;
-    const std::optional<std::size_t> spill = choose_spill(candidates, request, primary);
+    const key_warmth warmth = assess_warmth(candidates, request);
+    const std::size_t primary = warmth.homes.primary;
+    const std::optional<std::size_t> spill = choose_spill(candidates, request, candidates[primary]);
     std::optional<std::size_t> best;
     placement_estimate best_estimate;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const bool is_primary = homes.primary == i;
-        const bool is_assumed_warm =
-            is_primary ? is_primary_assumed_warm : homes.secondary == i && !any_recently_used;
-        const bool is_warm = !request.key || candidates[i].recently_used || is_assumed_warm;
+        const bool is_warm = is_taken_as_warm(warmth, candidates, request, i);
         const placement_estimate estimate = estimate_placement(candidates[i], request, is_warm);
-        if (!is_warm && !is_primary && spill != i) {
+        if (!is_warm && primary != i && spill != i) {
             continue;
         }
         const auto rank = [&](std::size_t index, const placement_estimate& each) {
@@ -162,12 +236,16 @@
         }
     }
     // The loop always compares the primary target, so `best` is set.
+    if (request.random && holds_object(warmth, candidates, request, *best)) {
+        best = share_among_equals(warmth, candidates, request, *best, best_estimate);
+        best_estimate = estimate_placement(candidates[*best], request, true);
+    }
     const auto latency = milliseconds(static_cast<std::int64_t>(best_estimate.latency));
     const bool is_acceptable = best_estimate.has_free_slot || latency <= request.max_latency;
-    const placement_reason reason = candidates[*best].recently_used ? placement_reason::known_warm
-                                    : best == homes.primary         ? placement_reason::primary
-                                    : best == homes.secondary       ? placement_reason::secondary
-                                                                    : placement_reason::spill;
+    const placement_reason reason = candidates[*best].recently_used  ? placement_reason::known_warm
+                                    : best == primary                ? placement_reason::primary
+                                    : best == warmth.homes.secondary ? placement_reason::secondary
+                                                                     : placement_reason::spill;
     return {is_acceptable ? best : std::nullopt, latency, reason};
 }
 
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -15,6 +15,11 @@
 // most slots free. With `shared_homes`, the second target of the order is therefore assumed to be warm as
 // well, which is true because all VMs assume it, and nothing is spilled elsewhere while the service is short
 // of slots.
+//
+// If targets report their current speed, all VMs see the same figures and would send to the same target until
+// the next report. With `random`, the request is therefore placed on one of the targets that are nearly as
+// good as the best one and equally warm: on the less loaded of two that are drawn at random (power of two
+// choices; Mitzenmacher, 2001).
 #pragma once
 
 #include "clock.h"
@@ -35,8 +40,11 @@
     double load = 0;
     // Requests that the target runs concurrently.
     double slots = 1;
-    // Service time at this target relative to the service's average; 1 is average.
+    // Service time to expect at this target now, relative to the service's average; 1 is average.
     double service_time_ratio = 1;
+    // The part of service_time_ratio that is due to the current speed of the target's machine
+    // (target_speed.h): 2 if its slots now take twice as long as usual to become free.
+    double slowdown = 1;
     // Network round-trip time to the target.
     milliseconds round_trip{};
     // 0 in the region that serves the key, 1 in the choosing VM's region, 2 elsewhere.
@@ -67,6 +75,10 @@
     // Assumes the key's first two targets warm, and does not spill while the service is short of slots. For
     // VMs that see too few requests of each key to know which targets are warm.
     bool shared_homes = false;
+    // Random number. If set, targets that are nearly as good as the best one share the requests, and with
+    // shared_homes both homes count as warm even if a target is known to be. Set if targets report their
+    // speed.
+    std::optional<std::uint64_t> random;
     auto operator<=>(const placement_request&) const = default;
 };
 
@@ -95,9 +107,9 @@
     auto operator<=>(const placement&) const = default;
 };
 
-// Chooses the candidate with the lowest cost; candidates that are not degraded come first. Returns no index
-// if there are no candidates, or if the best one has no free slot and its expected latency exceeds
-// max_latency.
+// Chooses the candidate with the lowest cost, or with `random` one that is nearly as good; candidates that
+// are not degraded come first. Time and memory are linear in the number of candidates. Returns no index if
+// there are no candidates, or if the best one has no free slot and its expected latency exceeds max_latency.
 [[nodiscard]] placement place_request(const std::vector<placement_candidate>& candidates,
                                       const placement_request& request);
 
--- a/packages/policy/target_health.cpp
+++ b/packages/policy/target_health.cpp
@@ -28,6 +28,19 @@
     return milliseconds(std::max<std::int64_t>(1, std::lround(blended)));
 }
 
+// Adds the ratio of one run to the average of the target. The weight of early runs is that of a plain mean,
+// so that the median's delay of one run does not add to a slow start of the average.
+void add_service_time_ratio(target_health& health, double ratio) {
+    const auto [low, high] = std::minmax(health.last_ratios[0], health.last_ratios[1]);
+    const double median = std::clamp(ratio, low, high);
+    health.last_ratios = {health.last_ratios[1], ratio};
+    if (health.averaged_runs * service_time_weight < 1) {
+        ++health.averaged_runs;
+    }
+    const double weight = std::max(service_time_weight, 1.0 / health.averaged_runs);
+    health.service_time_ratio = health.service_time_ratio * (1 - weight) + median * weight;
+}
+
 } // namespace
 
 milliseconds estimate_service_time(milliseconds latency, double load, double slots) {
@@ -43,12 +56,8 @@
 void record_outcome(target_health& health, target_outcome outcome, const service_time_sample& time,
                     instant now) {
     if (outcome == target_outcome::answered && time.expected > milliseconds(0)) {
-        const double ratio =
-            static_cast<double>(time.measured.count()) / static_cast<double>(time.expected.count());
-        health.service_time_ratio =
-            health.service_time_ratio == 0
-                ? ratio
-                : health.service_time_ratio * (1 - service_time_weight) + ratio * service_time_weight;
+        add_service_time_ratio(health, static_cast<double>(time.measured.count()) /
+                                           static_cast<double>(time.expected.count()));
     }
     const bool is_failure = outcome == target_outcome::unreachable || outcome == target_outcome::failed;
     health.failure_rate = health.failure_rate * (1 - failure_weight) + (is_failure ? failure_weight : 0);
--- a/packages/policy/target_health.h
+++ b/packages/policy/target_health.h
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 
+#include <array>
 #include <compare>
 #include <cstddef>
 
@@ -23,8 +24,14 @@
 // Health statistics of one target.
 struct target_health {
     // Moving average of measured over expected service time. The expected time is the service's average for
-    // the same kind of run, warm or cold. 0 before the first measurement.
+    // the same kind of run, warm or cold. 0 before the first measurement. The average is taken over the
+    // median of each three successive runs, so that a single run that needs several times the usual work has
+    // no influence.
     double service_time_ratio = 0;
+    // The ratios of the last two runs, the older one first; 1 before they were measured.
+    std::array<double, 2> last_ratios{1, 1};
+    // Number of runs in the average, up to the number from which on its weights are constant.
+    int averaged_runs = 0;
     // Estimated network round trip: moving average of the time to open a connection; 0 before the first one.
     milliseconds round_trip{};
     // Moving average of the fraction of requests that failed, 0 to 1.
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -107,10 +107,11 @@
     unsigned status = 0;
     std::string outcome;
     std::optional<milliseconds> retry_after;
-    // The target that responded, its load when the request was sent, the duration of the attempt, and why the
-    // target was chosen. Empty if the response is not a target's.
+    // The target that responded, its load and expected slowdown when the request was sent, the duration of
+    // the attempt, and why the target was chosen. Empty if the response is not a target's.
     std::string target;
     double load_at_send = 0;
+    std::optional<double> expected_slowdown;
     milliseconds latency{};
     const char* selection_reason = "";
     // Whether the target's response had the target's seal.
@@ -197,6 +198,9 @@
             .add("target_ms", summary.latency.count())
             .add("sealed", summary.sealed)
             .add("affinity", std::string_view(key.data(), key.size()));
+        if (summary.expected_slowdown) {
+            fields.add("slowdown", to_percent(*summary.expected_slowdown));
+        }
     }
     if (summary.retry_after) {
         fields.add("retry_after_ms", summary.retry_after->count());
@@ -280,6 +284,7 @@
                    {},
                    response->target,
                    response->load_at_send,
+                   response->expected_slowdown,
                    response->latency,
                    response->selection_reason,
                    response->head.count(core.platform.headers().response_seal) != 0,
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -310,6 +310,7 @@
                                      std::move(result.body),
                                      target->is_peer ? result.relayed_target : target->info.id,
                                      result.load_at_send,
+                                     result.expected_slowdown,
                                      result.latency,
                                      target->is_peer ? "relayed" : to_string(hop.selection.reason)};
             co_return response;
--- a/packages/proxy/forwarding.h
+++ b/packages/proxy/forwarding.h
@@ -17,6 +17,8 @@
     std::string target;
     // Estimated number of requests at the target, from all VMs, when this one was sent.
     double load_at_send = 0;
+    // Slowdown that was expected of the target's machine; empty if the target had reported none.
+    std::optional<double> expected_slowdown;
     // Duration of the attempt that succeeded, without earlier attempts.
     milliseconds latency{};
     // Why this target was chosen: to_string of the placement_reason.
--- a/packages/proxy/node_metrics.cpp
+++ b/packages/proxy/node_metrics.cpp
@@ -56,4 +56,16 @@
     return text;
 }
 
+std::string render_target_slowdowns(std::vector<std::uint32_t> percents) {
+    if (percents.empty()) {
+        return "";
+    }
+    std::sort(percents.begin(), percents.end());
+    constexpr const char* line = "cassiaspan_target_slowdown_percent{{quantile=\"{}\"}} {}\n";
+    return fmt::format("cassiaspan_targets_reporting_speed {}\n", percents.size()) +
+           fmt::format(line, "0", percents.front()) +
+           fmt::format(line, "0.5", percents.at(percents.size() / 2)) +
+           fmt::format(line, "1", percents.back());
+}
+
 } // namespace cassiaspan
--- a/packages/proxy/node_metrics.h
+++ b/packages/proxy/node_metrics.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace cassiaspan {
 
@@ -49,4 +50,8 @@
 // Returns the metrics in the Prometheus text format.
 [[nodiscard]] std::string render(const node_metrics& metrics);
 
+// Returns the gauge of the figures that targets report about their current speed, in percent: their number,
+// minimum, median and maximum. Returns an empty text if there are none.
+[[nodiscard]] std::string render_target_slowdowns(std::vector<std::uint32_t> percents);
+
 } // namespace cassiaspan
--- a/packages/proxy/platform_adapter.h
+++ b/packages/proxy/platform_adapter.h
@@ -7,6 +7,7 @@
 #include "metadata_store.h"
 #include "steering_config.h"
 #include "target_info.h"
+#include "target_speed.h"
 
 #include <memory>
 #include <optional>
@@ -56,6 +57,9 @@
     std::size_t running = 0;
     std::size_t waiting = 0;
     std::size_t slots = 0;
+    // How long work takes on the target's machine now, in percent of the usual time, 1 to max_speed_percent;
+    // unset if the target does not report it.
+    std::optional<std::uint32_t> speed_percent;
     auto operator<=>(const target_load&) const = default;
 };
 
--- a/packages/proxy/simple_http_service.cpp
+++ b/packages/proxy/simple_http_service.cpp
@@ -116,7 +116,9 @@
     if (request_target(request) != "/metrics") {
         return make_response(request, http::status::not_found, "not found\n");
     }
-    return make_response(request, http::status::ok, render(core.metrics));
+    return make_response(request, http::status::ok,
+                         render(core.metrics) +
+                             render_target_slowdowns(recent_speed_percents(core.targets, now_of(core))));
 }
 
 } // namespace cassiaspan
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -113,13 +113,20 @@
     return seconds(time);
 }
 
-// Records the load and the remaining cold time that the target reports in its response header.
-void record_target_headers(node_core& core, target_record& target, const http::response_header<>& head) {
+// Records the load, the speed and the remaining cold time that the target reports in its response header.
+// Returns the slowdown, if the header has one.
+std::optional<double> record_target_headers(node_core& core, target_record& target,
+                                            const http::response_header<>& head) {
     const header_names& names = core.platform.headers();
     const instant now = now_of(core);
+    std::optional<double> slowdown;
     const auto load_text = head[names.target_load];
     if (const auto load = core.platform.parse_target_load({load_text.data(), load_text.size()})) {
         target.last_load_report = {static_cast<double>(load->running + load->waiting), target.in_flight, now};
+        if (load->speed_percent) {
+            target.last_speed_report = {*load->speed_percent, now};
+            slowdown = slowdown_of(*load->speed_percent);
+        }
     }
     const auto cold_text = head[names.cold_ms];
     std::int64_t cold_ms = 0;
@@ -127,6 +134,7 @@
         cold_ms > 0) {
         target.cold_until = std::max(target.cold_until, now + std::min(milliseconds(cold_ms), max_cold_time));
     }
+    return slowdown;
 }
 
 // Records what the target announces about itself in any of its responses, also in one to another request.
@@ -331,7 +339,7 @@
     // Records the headers of a response for the target that made it.
     void record_headers(attempt_result& result) {
         if (!this->target.is_peer) {
-            record_target_headers(this->core, this->target, result.head);
+            result.slowdown_at_end = record_target_headers(this->core, this->target, result.head);
             if (this->request.is_relayed) {
                 result.head.set(relay_headers::target, this->target.info.id);
             }
@@ -454,7 +462,10 @@
         return;
     }
     const auto slots = static_cast<double>(target.info.slots);
-    const milliseconds own_time = estimate_service_time(result.target_time, result.load_at_send, slots);
+    // Slow phases of the target's machine count neither against the target nor as usual for the service.
+    const milliseconds own_time =
+        usual_service_time(estimate_service_time(result.target_time, result.load_at_send, slots),
+                           result.slowdown_at_send, result.slowdown_at_end);
     service_stats& stats = get_service_stats(core, target.info.service);
     if (result.outcome == attempt_end::answered) {
         stats.service_time = moving_average(stats.service_time, own_time);
@@ -471,6 +482,7 @@
     if (result.outcome == attempt_end::unreachable) {
         target.unreachable_since = target.may_have_restarted ? target.unreachable_since : now;
         target.may_have_restarted = true;
+        target.last_speed_report.reset();
     }
     if (result.outcome == attempt_end::answered && target.may_have_restarted) {
         // The target responds again after it was unreachable. It is taken to have restarted cold, even if its
@@ -499,6 +511,11 @@
         connection = co_await open_connection(core, target, cancellation);
     }
     const instant sent_at = now_of(core);
+    const std::optional<double> slowdown_at_send = fresh_slowdown(target->last_speed_report, sent_at);
+    std::optional<double> expected_slowdown;
+    if (target->last_speed_report) {
+        expected_slowdown = believed_slowdown(target->last_speed_report, sent_at);
+    }
     if (connection && is_paused(target->availability, sent_at)) {
         result.outcome = attempt_end::withheld;
         result.detail = "the target asked for a pause while the connection was being opened";
@@ -523,6 +540,8 @@
     }
     --target->in_flight;
     result.load_at_send = load;
+    result.slowdown_at_send = slowdown_at_send;
+    result.expected_slowdown = expected_slowdown;
     const instant ended_at = now_of(core);
     result.latency = std::chrono::ceil<milliseconds>(ended_at - started_at);
     result.target_time = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(ended_at - sent_at) -
--- a/packages/proxy/target_attempt.h
+++ b/packages/proxy/target_attempt.h
@@ -76,14 +76,20 @@
     milliseconds target_time{};
     // Estimated number of requests at the target, from all VMs, when this one was sent.
     double load_at_send = 0;
+    // Slowdown of the target's machine (target_speed.h): as believed when the request was sent, empty if the
+    // target had reported none; as reported shortly before the request was sent; as reported in the response.
+    std::optional<double> expected_slowdown;
+    std::optional<double> slowdown_at_send;
+    std::optional<double> slowdown_at_end;
     // Cause of the failure, for the log.
     std::string detail;
 };
 
 // Sends the request to the target and reads the response, over a pooled connection or a new one. Failures are
-// reported in the result. Updates the in-flight count, load report, cold state and health of the target, and
-// the time averages of its service, and whether the service is in reach. If the target is a peer that relays
-// the request, the load and cold state are those of the target that it names in the response. Cancelling
+// reported in the result. Updates the in-flight count, load and speed reports, cold state and health of the
+// target, and the time averages of its service, and whether the service is in reach. If the target is a peer
+// that relays the request, the load, speed and cold state are those of the target that it names in the
+// response. Cancelling
 // `cancellation` ends the attempt early.
 asio::awaitable<attempt_result> run_attempt(node_core& core, target_ptr target,
                                             const outgoing_request& request, cancellation_ptr cancellation,
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -20,7 +20,8 @@
 // are used soon.
 constexpr std::uint64_t explore_interval_for_new_target = 3;
 constexpr milliseconds new_target_period{10'000};
-// Bounds of a target's service_time_ratio: its service time relative to the usual one of its service.
+// Bounds of a candidate's service_time_ratio: its expected service time relative to the usual one of its
+// service.
 constexpr double min_service_time_ratio = 0.5;
 constexpr double max_service_time_ratio = 8;
 
@@ -101,10 +102,10 @@
     candidate.identity = target.id_hash;
     candidate.load = estimate_load(target, now);
     candidate.slots = static_cast<double>(std::max<std::size_t>(target.info.slots, 1));
+    candidate.slowdown = believed_slowdown(target.last_speed_report, now);
+    const double usual_ratio = target.health.service_time_ratio == 0 ? 1 : target.health.service_time_ratio;
     candidate.service_time_ratio =
-        target.health.service_time_ratio == 0
-            ? 1
-            : std::clamp(target.health.service_time_ratio, min_service_time_ratio, max_service_time_ratio);
+        std::clamp(usual_ratio * candidate.slowdown, min_service_time_ratio, max_service_time_ratio);
     candidate.recently_used =
         affinity_hash && was_used(core.affinity_history, target.id_hash, *affinity_hash, warm_retention, now);
     candidate.round_trip = target.health.round_trip != milliseconds(0) ? target.health.round_trip
@@ -164,9 +165,13 @@
     const auto time_left = std::chrono::duration_cast<milliseconds>(plan.objective_deadline - now);
     const bool explore = core.random() % explore_interval == 0;
     const bool explore_joined = core.random() % explore_interval_for_new_target == 0;
+    const bool reports_speed = std::any_of(targets.begin(), targets.end(), [](const target_ptr& target) {
+        return target->last_speed_report.has_value();
+    });
+    const auto random = reports_speed ? std::optional<std::uint64_t>(core.random()) : std::nullopt;
     const placement choice =
         place_request(candidates, {plan.affinity_hash, expected.warm, expected.cold, explore, explore_joined,
-                                   std::max(time_left, milliseconds(0)), uses_hubs(core)});
+                                   std::max(time_left, milliseconds(0)), uses_hubs(core), random});
     if (!choice.index) {
         return {nullptr, choice.expected_latency, !any_eligible};
     }
--- a/packages/proxy/target_table.cpp
+++ b/packages/proxy/target_table.cpp
@@ -16,6 +16,10 @@
 // are some seconds old.
 constexpr milliseconds removed_entry_retention{60'000};
 
+// Speed reports up to this age are exported as metrics: about the interval at which metrics are collected, so
+// that most targets in use appear in each collection.
+constexpr milliseconds max_exported_speed_age{15'000};
+
 const std::vector<target_ptr> no_targets;
 
 // Returns whether the entries belong to different incarnations of a target.
@@ -213,4 +217,15 @@
     return std::max(counted, target.last_load_report->requests + std::max(0.0, in_flight_change));
 }
 
+std::vector<std::uint32_t> recent_speed_percents(const target_table& targets, instant now) {
+    std::vector<std::uint32_t> percents;
+    for (const auto& [id, target] : targets.all()) {
+        const std::optional<speed_report>& report = target->last_speed_report;
+        if (report && now - report->reported_at <= max_exported_speed_age) {
+            percents.push_back(report->percent);
+        }
+    }
+    return percents;
+}
+
 } // namespace cassiaspan
--- a/packages/proxy/target_table.h
+++ b/packages/proxy/target_table.h
@@ -6,6 +6,7 @@
 #include "target_availability.h"
 #include "target_health.h"
 #include "target_info.h"
+#include "target_speed.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <cstdint>
@@ -72,6 +73,8 @@
     std::size_t in_flight = 0;
     std::size_t peers_in_flight = 0;
     std::optional<load_report> last_load_report;
+    // The speed that the target last reported; empty if it reports none.
+    std::optional<speed_report> last_speed_report;
     // Set if the discovery entry was removed: the target is used until this time, in case the entry only
     // expired because the store was unavailable.
     std::optional<instant> removal_due_at;
@@ -174,4 +177,8 @@
 // are ignored.
 [[nodiscard]] double estimate_load(const target_record& target, instant now);
 
+// Returns the figures that the targets last reported about their speed, in percent, without those that are
+// too old to describe the present. Linear in the number of targets.
+[[nodiscard]] std::vector<std::uint32_t> recent_speed_percents(const target_table& targets, instant now);
+
 } // namespace cassiaspan
