Adjust region shares to the measured occupancy of small regions

Cause: the model of warm runs says that a region with a tenth of the targets has room, while its targets are occupied at 1.6 to 3.3 requests a slot with cold runs; callers of that region were served late, and others sent keys there. Change: where regions have targets of very different number, shares follow the requests in flight per slot, and a key has one home instead of two in a small region, whose targets cannot keep two copies of all keys.

--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -81,9 +81,9 @@
         }
     }
     const placement_candidate& primary = candidates[homes.primary];
-    if (homes.secondary &&
-        (!request.shared_homes || candidates[*homes.secondary].region_rank != primary.region_rank ||
-         candidates[*homes.secondary].degraded != primary.degraded)) {
+    if (homes.secondary && (!request.shared_homes || request.single_home ||
+                            candidates[*homes.secondary].region_rank != primary.region_rank ||
+                            candidates[*homes.secondary].degraded != primary.degraded)) {
         homes.secondary.reset();
     }
     return homes;
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -67,6 +67,9 @@
     // Assumes the key's first two targets warm, and does not spill while the service is short of slots. For
     // VMs that see too few requests of each key to know which targets are warm.
     bool shared_homes = false;
+    // With shared_homes, assumes only the first target warm: the region that serves the key has so few
+    // targets that they cannot keep two copies of all keys.
+    bool single_home = false;
     auto operator<=>(const placement_request&) const = default;
 };
 
--- a/packages/policy/region_shares.cpp
+++ b/packages/policy/region_shares.cpp
@@ -14,6 +14,13 @@
 constexpr std::chrono::duration<double> demand_averaging_time{2.0};
 // Fraction of the slots that planned load may use; the rest is for cold runs and random variation.
 constexpr double planned_utilization = 0.75;
+// Fraction of the slots that may be occupied where regions have uneven capacity. Above it, the runs of a
+// target with few slots queue noticeably.
+constexpr double planned_occupancy = 0.5;
+// Relative difference to the intended occupancy within which shares stay as they are.
+constexpr double occupancy_tolerance = 0.1;
+// Slots of a region relative to those of the largest, below which the region is small.
+constexpr double small_region_ratio = 0.5;
 // A smaller share is not moved to other regions: so few keys are not worth it.
 constexpr double min_share = 0.02;
 
@@ -98,6 +105,59 @@
     return compute_region_shares(assumed, caller_region);
 }
 
+std::set<std::string> find_small_regions(const std::map<std::string, double>& slots) {
+    double largest = 0;
+    for (const auto& [region, count] : slots) {
+        largest = std::max(largest, count);
+    }
+    std::set<std::string> small;
+    for (const auto& [region, count] : slots) {
+        if (count < small_region_ratio * largest) {
+            small.insert(region);
+        }
+    }
+    return small;
+}
+
+region_shares adjust_region_shares(const region_shares& shares,
+                                   const std::map<std::string, region_load>& regions,
+                                   const std::string& caller_region) {
+    double occupied = 0;
+    double capacity = 0;
+    for (const auto& [region, load] : regions) {
+        occupied += load.occupied_slots;
+        capacity += load.slots;
+    }
+    if (capacity <= 0) {
+        return {{caller_region, 1.0}};
+    }
+    const double intended = std::max(planned_occupancy, occupied / capacity);
+    std::map<std::string, double> spare_slots;
+    double total_spare = 0;
+    for (const auto& [region, load] : regions) {
+        if (region != caller_region) {
+            spare_slots[region] = std::max(0.0, intended * load.slots - load.occupied_slots);
+            total_spare += spare_slots[region];
+        }
+    }
+    if (total_spare <= 0 && !shares.empty()) {
+        return shares;
+    }
+    const auto found = regions.find(caller_region);
+    if (found == regions.end() || found->second.slots <= 0) {
+        return distribute_shares(0, spare_slots, caller_region);
+    }
+    const double own_share = share_of(shares, caller_region, caller_region);
+    const double occupancy = found->second.occupied_slots / found->second.slots;
+    if (std::abs(occupancy - intended) <= occupancy_tolerance * intended) {
+        return distribute_shares(own_share, spare_slots, caller_region);
+    }
+    // A share of 0 could not grow in proportion.
+    const double growing_share = std::max(own_share, min_share);
+    return distribute_shares(occupancy <= 0 ? 1 : std::min(1.0, growing_share * intended / occupancy),
+                             spare_slots, caller_region);
+}
+
 double share_of(const region_shares& shares, const std::string& caller_region, const std::string& region) {
     if (shares.empty()) {
         return region == caller_region ? 1 : 0;
--- a/packages/policy/region_shares.h
+++ b/packages/policy/region_shares.h
@@ -10,6 +10,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace cassiaspan {
@@ -34,6 +35,8 @@
     double demand_slots = 0;
     // Total slots of the region's usable targets.
     double slots = 0;
+    // Requests in flight at the region's usable targets, of the callers of all regions; moving average.
+    double occupied_slots = 0;
     auto operator<=>(const region_load&) const = default;
 };
 
@@ -50,6 +53,20 @@
 [[nodiscard]] region_shares initial_region_shares(const std::map<std::string, region_load>& regions,
                                                   const std::string& caller_region);
 
+// Returns the regions with less than half of the slots of the largest one. Their targets cannot keep the keys
+// of as many callers warm as those of other regions. `slots` are those of all targets, usable or not, so that
+// failures do not change the result.
+[[nodiscard]] std::set<std::string> find_small_regions(const std::map<std::string, double>& slots);
+
+// Returns the shares for the callers of `caller_region` from what is measured at the targets, for regions of
+// uneven capacity. compute_region_shares() assumes that every run is warm, but the targets of a small region
+// cannot keep all keys of its callers warm: the more keys they serve, the longer each run takes. The region
+// therefore gives away keys while its targets are occupied above the utilization of all regions, or above
+// planned_occupancy if that is more, and takes them back below. Small differences change nothing.
+[[nodiscard]] region_shares adjust_region_shares(const region_shares& shares,
+                                                 const std::map<std::string, region_load>& regions,
+                                                 const std::string& caller_region);
+
 // Returns `shares` moved towards `desired`. The share of `caller_region` changes by at most `max_step`, up or
 // down; the other shares move by the same fraction of their distance.
 [[nodiscard]] region_shares step_towards(const region_shares& shares, const region_shares& desired,
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -65,6 +65,10 @@
     std::map<std::string, demand_meter> demand_by_region;
     // When this VM read its first request for the service; empty before that.
     std::optional<instant> first_request_time;
+    // Requests in flight at the usable targets of each region; moving averages.
+    std::map<std::string, double> occupied_slots;
+    // Regions with few of the service's targets; see find_small_regions().
+    std::set<std::string> small_regions;
     // Fraction of the affinity keys of this region's callers that each region serves.
     region_shares shares;
     // Whether this VM reaches the service's targets.
--- a/packages/proxy/region_balance.cpp
+++ b/packages/proxy/region_balance.cpp
@@ -3,6 +3,7 @@
 #include "target_selection.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cassiaspan {
 
@@ -16,6 +17,40 @@
 // Maximum growth of a share in one window if the platform sets no limit.
 constexpr double default_growth = 0.25;
 
+// Time constant of the average of the slots that are in use: a few runs of a target.
+constexpr std::chrono::duration<double> occupancy_averaging_time{1.0};
+
+// Updates the moving averages of the slots that are in use at the service's targets, by region.
+void update_occupied_slots(const node_core& core, const std::string& service, service_stats& stats,
+                           milliseconds interval, instant now) {
+    std::map<std::string, double> occupied;
+    for (const target_ptr& target : core.targets.find_by_service(service)) {
+        if (accepts_new_requests(core, *target, now)) {
+            occupied[target->info.region] += static_cast<double>(target->in_flight + target->peers_in_flight);
+        }
+    }
+    const double weight = 1 - std::exp(-std::chrono::duration<double>(interval) / occupancy_averaging_time);
+    for (const auto& [zone, region] : core.settings.region_by_zone) {
+        occupied.try_emplace(region, 0);
+    }
+    for (const auto& [region, slots] : occupied) {
+        double& average = stats.occupied_slots[region];
+        average += weight * (slots - average);
+    }
+}
+
+// Returns the slots of all of the service's targets, usable or not, by region.
+std::map<std::string, double> count_slots(const node_core& core, const std::string& service) {
+    std::map<std::string, double> slots;
+    for (const auto& [zone, region] : core.settings.region_by_zone) {
+        slots[region];
+    }
+    for (const target_ptr& target : core.targets.find_by_service(service)) {
+        slots[target->info.region] += static_cast<double>(target->info.slots);
+    }
+    return slots;
+}
+
 // Returns the demand and the usable slots of every region for the service.
 std::map<std::string, region_load> compute_region_loads(const node_core& core, const std::string& service,
                                                         const service_stats& stats, instant now) {
@@ -32,6 +67,9 @@
     for (const auto& [region, meter] : stats.demand_by_region) {
         regions[region].demand_slots = demand_rate(meter, now) * warm_service_time.count();
     }
+    for (const auto& [region, slots] : stats.occupied_slots) {
+        regions[region].occupied_slots = slots;
+    }
     return regions;
 }
 
@@ -57,10 +95,14 @@
         }
     }
     for (auto& [service, stats] : core.services) {
+        update_occupied_slots(core, service, stats, interval, now);
+        stats.small_regions = find_small_regions(count_slots(core, service));
         const std::map<std::string, region_load> regions = compute_region_loads(core, service, stats, now);
         if (is_demand_known(stats, now)) {
-            stats.shares =
-                step_towards(stats.shares, compute_region_shares(regions, own_region), own_region, step);
+            const region_shares desired = stats.small_regions.empty()
+                                              ? compute_region_shares(regions, own_region)
+                                              : adjust_region_shares(stats.shares, regions, own_region);
+            stats.shares = step_towards(stats.shares, desired, own_region, step);
         } else {
             stats.shares = initial_region_shares(regions, own_region);
         }
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -166,7 +166,8 @@
     const bool explore_joined = core.random() % explore_interval_for_new_target == 0;
     const placement choice =
         place_request(candidates, {plan.affinity_hash, expected.warm, expected.cold, explore, explore_joined,
-                                   std::max(time_left, milliseconds(0)), uses_hubs(core)});
+                                   std::max(time_left, milliseconds(0)), uses_hubs(core),
+                                   stats.small_regions.count(key_region) != 0});
     if (!choice.index) {
         return {nullptr, choice.expected_latency, !any_eligible};
     }
--- a/test/correctness/region_shares_test.cpp
+++ b/test/correctness/region_shares_test.cpp
@@ -45,6 +45,103 @@
               {"no targets in any region", {{"a", {10, 0}}, {"b", {10, 0}}}, {{"a", 1}}}},
              check_balance);
 
+struct adjustment_row {
+    std::string name;
+    region_shares shares;
+    std::map<std::string, region_load> regions;
+    // Shares for the callers of region "a".
+    region_shares expected;
+};
+
+void check_adjustment(const adjustment_row& row) {
+    const region_shares shares = adjust_region_shares(row.shares, row.regions, "a");
+    for (const auto& [region, load] : row.regions) {
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(share_of(row.expected, "a", region), share_of(shares, "a", region),
+                                     tolerance);
+    }
+}
+
+// Demand and capacity at the targets of regions of uneven size. Guards against a small region whose targets
+// are busy with cold runs while the model of warm runs says that they have room.
+const test_table<adjustment_row> adjustments(
+    "region_shares adjustment",
+    {{"a small region that is full gives keys away",
+      {{"a", 0.6}, {"b", 0.4}},
+      {{"a", {10, 20, 24}}, {"b", {50, 200, 50}}, {"c", {50, 200, 75}}},
+      {{"a", 0.25}, {"b", 0.5}, {"c", 0.25}}},
+     {"a small region with room takes keys back",
+      {{"a", 0.3}, {"b", 0.7}},
+      {{"a", {10, 20, 5}}, {"b", {50, 200, 50}}},
+      {{"a", 0.6}, {"b", 0.4}}},
+     {"a small difference changes nothing",
+      {{"a", 0.3}, {"b", 0.7}},
+      {{"a", {10, 20, 10.8}}, {"b", {50, 200, 50}}},
+      {{"a", 0.3}, {"b", 0.7}}},
+     {"a region without callers' requests serves its own keys",
+      {{"a", 0.3}, {"b", 0.7}},
+      {{"a", {0, 20, 0}}, {"b", {50, 200, 50}}},
+      {{"a", 1}}},
+     {"a share of nothing can grow",
+      {{"a", 0}, {"b", 1}},
+      {{"a", {10, 20, 0.2}}, {"b", {50, 200, 50}}},
+      {{"a", 1}}},
+     {"all regions above the planned occupancy are loaded alike",
+      {{"a", 0.6}, {"b", 0.4}},
+      {{"a", {30, 20, 30}}, {"b", {150, 180, 130}}},
+      {{"a", 0.32}, {"b", 0.68}}},
+     {"all regions equally full keep their shares",
+      {{"a", 0.6}, {"b", 0.4}},
+      {{"a", {30, 20, 20}}, {"b", {150, 180, 180}}},
+      {{"a", 0.6}, {"b", 0.4}}},
+     {"no usable target in the region", {{"a", 1}}, {{"a", {10, 0, 0}}, {"b", {50, 200, 50}}}, {{"b", 1}}},
+     {"no usable target at all",
+      {{"a", 0.5}, {"b", 0.5}},
+      {{"a", {10, 0, 0}}, {"b", {5, 0, 0}}},
+      {{"a", 1}}}},
+    check_adjustment);
+
+struct capacity_row {
+    std::string name;
+    std::map<std::string, double> slots;
+    std::set<std::string> small;
+};
+
+void check_capacity(const capacity_row& row) {
+    CPPUNIT_ASSERT(row.small == find_small_regions(row.slots));
+}
+
+const test_table<capacity_row>
+    capacities("region_shares small regions",
+               {{"equal", {{"a", 30}, {"b", 30}, {"c", 30}}, {}},
+                {"slightly different", {{"a", 30}, {"b", 20}, {"c", 24}}, {}},
+                {"a region with a tenth", {{"a", 24}, {"b", 120}, {"c", 120}}, {"a"}},
+                {"a region without targets", {{"a", 0}, {"b", 30}}, {"a"}},
+                {"one region", {{"a", 30}}, {}},
+                {"none", {}, {}}},
+               check_capacity);
+
+// Targets of a small region whose runs take longer the more keys they serve. The shares must settle where the
+// region is neither full nor idle, and not swing around it.
+void shares_settle_where_runs_get_slower_with_more_keys() {
+    constexpr double max_step = 0.0054;
+    region_shares shares{{"a", 0.9}, {"b", 0.1}};
+    double lowest = 1;
+    double highest = 0;
+    for (int step = 0; step < 600; ++step) {
+        const double own = share_of(shares, "a", "a");
+        const double time_per_run = 1 + 2 * own;
+        const std::map<std::string, region_load> regions{{"a", {20, 20, 25 * own * time_per_run}},
+                                                         {"b", {50, 200, 50}}};
+        shares = step_towards(shares, adjust_region_shares(shares, regions, "a"), "a", max_step);
+        if (step > 300) {
+            lowest = std::min(lowest, own);
+            highest = std::max(highest, own);
+        }
+    }
+    CPPUNIT_ASSERT(lowest > 0.2 && highest < 0.35);
+    CPPUNIT_ASSERT(highest - lowest <= 2 * max_step);
+}
+
 // One of three regions has 1/7 of the targets and 1/3 of the callers. Its callers must not all start in their
 // own region, which would be overloaded until the demand is known.
 void callers_of_a_small_region_start_distributed_over_regions() {
@@ -104,7 +201,9 @@
 
 const test_table<scenario>
     details("region_shares",
-            {{"callers of a small region start distributed over regions",
+            {{"shares settle where runs get slower with more keys",
+              shares_settle_where_runs_get_slower_with_more_keys},
+             {"callers of a small region start distributed over regions",
               callers_of_a_small_region_start_distributed_over_regions},
              {"keys are distributed by the shares", keys_are_distributed_by_the_shares},
              {"few keys move", few_keys_move},
