Leave out single entries of a configuration that the program cannot use

Cause: one entry of an unknown resource type, an unknown route kind or an invalid field made the VM reject the whole configuration, so that a deployment with the new kind "download" was served nothing.

Change: errors are stored with the entry they are in, and steering_config::make() leaves out these entries only. Kind "download" is retried like "idempotent"; an unknown kind is used and never repeated. Keys of a workspace that is left out get 401, and keys are required as soon as there was a workspace entry. The limits in force stay when their entry cannot be read. Findings are logged (611), counted in cassiaspan_config_entries_left_out, and reported as left_out in the config_applied event.

--- a/packages/policy/findings.h
+++ b/packages/policy/findings.h
@@ -16,6 +16,9 @@
 
 using findings = std::vector<finding>;
 
+// Returns one finding for all of them: the path of the first, and the texts of all. `list` must not be empty.
+[[nodiscard]] finding summarize(const findings& list);
+
 // Returns the findings as text, one per line in the form "source: path: text". `source` is the name of the
 // file or other source.
 [[nodiscard]] std::string render(const findings& list, const std::string& source);
--- a/packages/policy/retry_rules.cpp
+++ b/packages/policy/retry_rules.cpp
@@ -18,11 +18,15 @@
     return was_sent(end) && end != attempt_end::rejected && end != attempt_end::misdirected;
 }
 
+bool may_be_repeated(request_kind kind) {
+    return kind == request_kind::idempotent || kind == request_kind::download;
+}
+
 bool is_retryable(request_kind kind, attempt_end end) {
     if (end == attempt_end::answered || end == attempt_end::timed_out || end == attempt_end::caller_left) {
         return false;
     }
-    return !may_have_run(end) || kind == request_kind::idempotent;
+    return !may_have_run(end) || may_be_repeated(kind);
 }
 
 unsigned final_status(attempt_end last, bool any_may_have_run) {
--- a/packages/policy/retry_rules.h
+++ b/packages/policy/retry_rules.h
@@ -37,6 +37,9 @@
 // Returns whether the target may have run the request.
 [[nodiscard]] bool may_have_run(attempt_end end);
 
+// Returns whether a request of this kind may be executed more than once.
+[[nodiscard]] bool may_be_repeated(request_kind kind);
+
 // Returns whether a request of this kind may be retried on another target. The retry budget and the limit of
 // attempts are checked separately.
 [[nodiscard]] bool is_retryable(request_kind kind, attempt_end end);
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -28,7 +28,7 @@
             return boost::beast::iequals(field.name_string(), name);
         };
         const bool is_workspace_key =
-            field.name() == http::field::authorization && !plan.config->rules().workspaces.empty();
+            field.name() == http::field::authorization && plan.config->rules().keys_required;
         const bool is_replaced = std::any_of(replaced_headers.begin(), replaced_headers.end(), is_field);
         if (!is_workspace_key && !is_replaced && !is_relay_header(field.name_string()) &&
             !is_hop_by_hop(request.head, field.name_string()) &&
@@ -50,7 +50,7 @@
     outgoing.body = request.body;
     outgoing.remaining_body = std::move(remaining_body);
     outgoing.id = request.id;
-    outgoing.is_idempotent = plan.route->kind == request_kind::idempotent;
+    outgoing.is_idempotent = may_be_repeated(plan.route->kind);
     outgoing.is_relayed = request.relayed.has_value();
     http::request<http::empty_body> with_framing(std::move(outgoing.head));
     if (!request.has_unbuffered_body) {
--- a/packages/proxy/node_core.cpp
+++ b/packages/proxy/node_core.cpp
@@ -81,24 +81,29 @@
     }
 
     void operator()(const config_change& decoded) const {
-        const std::uint64_t version = decoded.config->rules().version;
+        const auto& current = this->core.config;
+        const auto config = decoded.config->rules().limits_left_out && current
+                                ? decoded.config->with_limits(current->rules().limits)
+                                : decoded.config;
+        const steering_rules& rules = config->rules();
         // After a restore, the operators may write another configuration under a version that was lost.
-        if (this->core.config && (this->core.config->rules().version > version ||
-                                  this->core.config->rules() == decoded.config->rules())) {
+        if (current && (current->rules().version > rules.version || current->rules() == rules)) {
             return;
         }
-        this->core.config = decoded.config;
+        this->core.config = config;
+        this->core.metrics.config_entries_left_out = rules.left_out.size();
         if (this->core.phase == node_phase::starting) {
             this->core.phase = node_phase::serving;
         }
-        const caller_limits& limits = decoded.config->rules().limits;
+        log_findings(this->core, this->change, rules.left_out);
         this->core.log.write(now_of(this->core), node_event::config_applied,
                              log_fields()
-                                 .add("version", version)
-                                 .add("routes", decoded.config->rules().routes.size())
-                                 .add("workspaces", decoded.config->rules().workspaces.size())
-                                 .add("header_timeout_ms", limits.header_timeout.count())
-                                 .add("idle_timeout_ms", limits.idle_timeout.count())
+                                 .add("version", rules.version)
+                                 .add("routes", rules.routes.size())
+                                 .add("workspaces", rules.workspaces.size())
+                                 .add("left_out", rules.left_out.size())
+                                 .add("header_timeout_ms", rules.limits.header_timeout.count())
+                                 .add("idle_timeout_ms", rules.limits.idle_timeout.count())
                                  .add("revision", this->change.item.position.revision));
     }
 
--- a/packages/proxy/node_metrics.cpp
+++ b/packages/proxy/node_metrics.cpp
@@ -43,6 +43,7 @@
     append_counter(text, "gossip_received", metrics.gossip_received);
     append_counter(text, "news_pulled", metrics.news_pulled);
     append_counter(text, "store_restores", metrics.store_restores);
+    text += fmt::format("cassiaspan_config_entries_left_out {}\n", metrics.config_entries_left_out);
     std::uint64_t cumulative_count = 0;
     for (std::size_t i = 0; i < latency_bounds_ms.size(); ++i) {
         cumulative_count += metrics.answer_latency.counts.at(i);
--- a/packages/proxy/node_metrics.h
+++ b/packages/proxy/node_metrics.h
@@ -40,6 +40,8 @@
     std::uint64_t news_pulled = 0;
     // Changes to a later epoch of the store.
     std::uint64_t store_restores = 0;
+    // Gauge: entries left out of the configuration in force, and its routes of unknown kinds.
+    std::uint64_t config_entries_left_out = 0;
     latency_histogram answer_latency;
 };
 
--- a/packages/proxy/request_plan.cpp
+++ b/packages/proxy/request_plan.cpp
@@ -16,6 +16,9 @@
 constexpr unsigned status_unavailable = 503;
 // Retry-After of a VM that has no configuration yet.
 constexpr milliseconds startup_retry_after{300};
+// Retry-After of a request whose route is left out of the configuration. A corrected configuration takes
+// effect about a second after it was written.
+constexpr milliseconds left_out_retry_after{1000};
 // Lower bound of the Retry-After for a workspace over its rate; otherwise it is the time to the bucket's next
 // token.
 constexpr milliseconds min_rate_limit_retry_after{250};
@@ -34,17 +37,26 @@
     return {text.data(), text.size()};
 }
 
-// Finds the route for the host, without its port, and the path of the request. Returns null if there is none.
-const route_rule* find_route(const steering_config& config, const caller_request& request) {
+// Finds the route for the host, without its port, and the path of the request. A request whose route is left
+// out of the configuration is refused: a route with a shorter prefix may have other rules.
+tl::expected<const route_rule*, local_reply> find_route(const steering_config& config,
+                                                        const caller_request& request) {
     const std::string_view host = host_without_port(to_string_view(request.head[http::field::host]));
-    return config.find_route(host, to_string_view(request.head.target()));
+    const std::string_view path = to_string_view(request.head.target());
+    if (const route_rule* route = config.find_route(host, path)) {
+        return route;
+    }
+    return tl::unexpected(config.is_left_out(host, path)
+                              ? local_reply{status_unavailable, "route_left_out", left_out_retry_after}
+                              : local_reply{status_not_found, "no_route", {}});
 }
 
-// Sets the workspace from the bearer key. Open routes, and configurations without workspaces, need no key.
+// Sets the workspace from the bearer key. Open routes, and configurations without workspace entries, need no
+// key.
 step_result authenticate(request_plan& plan, const caller_request& request) {
     constexpr std::string_view scheme = "Bearer ";
     const std::string_view credentials = to_string_view(request.head[http::field::authorization]);
-    if (plan.config->rules().workspaces.empty() || plan.route->is_public) {
+    if (!plan.config->rules().keys_required || plan.route->is_public) {
         return {};
     }
     if (request.relayed) {
@@ -157,10 +169,11 @@
     if (core.phase == node_phase::draining) {
         return tl::unexpected(local_reply{status_unavailable, "stopping", milliseconds(0)});
     }
-    plan.route = find_route(*plan.config, request);
-    if (plan.route == nullptr) {
-        return tl::unexpected(local_reply{status_not_found, "no_route", {}});
+    const auto route = find_route(*plan.config, request);
+    if (!route) {
+        return tl::unexpected(route.error());
     }
+    plan.route = *route;
     const step_result checked = authenticate(plan, request)
                                     .and_then([&] { return check_quarantine(core, plan, request); })
                                     .and_then([&] { return check_rate_limit(core, plan, request); });
--- a/test/correctness/request_rules_test.cpp
+++ b/test/correctness/request_rules_test.cpp
@@ -30,6 +30,7 @@
 void check_retry_rule(const retry_rule_row& row) {
     CPPUNIT_ASSERT_EQUAL(row.may_have_run, may_have_run(row.end));
     CPPUNIT_ASSERT_EQUAL(row.idempotent_is_retryable, is_retryable(request_kind::idempotent, row.end));
+    CPPUNIT_ASSERT_EQUAL(row.idempotent_is_retryable, is_retryable(request_kind::download, row.end));
     CPPUNIT_ASSERT_EQUAL(row.non_idempotent_is_retryable,
                          is_retryable(request_kind::non_idempotent, row.end));
     CPPUNIT_ASSERT_EQUAL(row.non_idempotent_is_retryable, is_retryable(request_kind::upload, row.end));
