Take a response without length as incomplete if its connection was reset

Cause: the kernel reports a reset once. While a long request is being written, Asio runs the pending write first, which fails with the reset; the read after it returns an orderly end of the stream, and the parser takes that for the end of a message without length.

Change: such a response is complete only if the request was written to its end without an error and the connection is in the state CLOSE_WAIT. A response of a target that has not accepted the whole request counts as incomplete.

--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -6,8 +6,11 @@
 #include "target_connections.h"
 
 #include <array>
+#include <boost/asio/post.hpp>
 #include <charconv>
 #include <limits>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace cassiaspan {
 
@@ -95,6 +98,16 @@
     writer_done->cancel();
 }
 
+// Returns whether the target has ended its direction of the connection, and the connection has not been reset
+// since. Once a reset has been reported to a write, a read sees an orderly end of the stream, so that only
+// the state of the connection tells the two apart.
+bool has_ended_in_order(tcp::socket& socket) {
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+           info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 bool response_has_no_body(const response_parser& parser, http::verb method) {
     const unsigned status = parser.get().result_int();
     return method == http::verb::head || status == 204 || status == 304 || status / 100 == 1;
@@ -191,7 +204,7 @@
         : core(core_in), target(target_in), connection(connection_in), request(request_in), sink(sink_in) {}
 
     asio::awaitable<attempt_result> run() {
-        auto writer = std::make_shared<request_writer>(this->request);
+        const auto writer = this->writer;
         auto writer_done = std::make_shared<asio::steady_timer>(this->core.context);
         writer_done->expires_at(asio::steady_timer::time_point::max());
         const bool fits_socket_buffer =
@@ -393,10 +406,27 @@
                 }
             }
         }
+        const bool complete = co_await this->is_body_complete(parser);
         if (streaming) {
-            co_await this->sink.finish(true);
+            co_await this->sink.finish(complete);
+        }
+        co_return complete;
+    }
+
+    // Returns whether a body that has been read to the end of the message is complete. Where the message ends
+    // with the connection, the connection must have ended in order in both directions: a target that has not
+    // accepted the whole request did not end it so.
+    asio::awaitable<bool> is_body_complete(const response_parser& parser) {
+        if (!parser.need_eof()) {
+            co_return true;
+        }
+        // On a busy VM, the end of the write may have been reported beside that of the response. Its handlers
+        // are queued then: one for the write, and one for each layer above it.
+        constexpr int max_write_handlers = 4;
+        for (int i = 0; i < max_write_handlers && !this->writer->done; ++i) {
+            co_await asio::post(this->core.context, asio::use_awaitable);
         }
-        co_return true;
+        co_return this->writer->done && !this->writer->failed && has_ended_in_order(this->connection.socket);
     }
 
     // Passes the header and the part of the body that has been read to the sink. Returns false if the sink
@@ -422,6 +452,7 @@
     target_connection& connection;
     const outgoing_request& request;
     const response_sink& sink;
+    std::shared_ptr<request_writer> writer = std::make_shared<request_writer>(this->request);
     bool reusable = false;
 };
 
