Take a response with a status outside 200 to 599 as a failed attempt

Cause: the parser accepts any three digits as a status, and 101 was skipped like other interim responses, though no VM asks for another protocol.

Change: another status than 1xx and 200 to 599, and 101, end the attempt as failed and close the connection. Other 1xx are skipped as before. What such a response announces about its target is not recorded.

--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -113,6 +113,16 @@
     return method == http::verb::head || status == 204 || status == 304 || status / 100 == 1;
 }
 
+bool is_interim(unsigned status) {
+    return status / 100 == 1 && status != 101;
+}
+
+// Returns whether the status is that of a response to a request of this VM, which never asks for another
+// protocol.
+bool is_valid_status(unsigned status) {
+    return is_interim(status) || (status >= 200 && status <= 599);
+}
+
 // Returns the timeout parameter of a Keep-Alive header, or 0 if it has none.
 milliseconds parse_keep_alive_timeout(boost::beast::string_view text) {
     constexpr std::string_view parameter = "timeout=";
@@ -273,11 +283,20 @@
                 }
                 co_return;
             }
+            const unsigned status = parser.get().result_int();
             if (!this->target.is_peer) {
                 record_target_contact(this->core, this->target);
+            }
+            if (!is_valid_status(status)) {
+                // What follows on the connection cannot be told apart either.
+                result.outcome = attempt_end::failed;
+                result.detail = "response has the invalid status " + std::to_string(status);
+                co_return;
+            }
+            if (!this->target.is_peer) {
                 record_announcements(this->core, this->target, parser.get().base());
             }
-            if (parser.get().result_int() / 100 == 1) {
+            if (is_interim(status)) {
                 continue;
             }
             if (echoes_request_id(this->core.platform.headers(), parser.get().base(), this->request.id)) {
