Accept unframed responses where the state of the connection is not reported

Cause: a system without TCP_INFO would take every response without length as incomplete. Change: there, the result of writing the request decides alone.

--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -100,12 +100,16 @@
 
 // Returns whether the target has ended its direction of the connection, and the connection has not been reset
 // since. Once a reset has been reported to a write, a read sees an orderly end of the stream, so that only
-// the state of the connection tells the two apart.
+// the state of the connection tells the two apart. Where the system does not report the state, the result of
+// the write alone decides.
 bool has_ended_in_order(tcp::socket& socket) {
     tcp_info info{};
     socklen_t size = sizeof(info);
-    return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
-           info.tcpi_state == TCP_CLOSE_WAIT;
+    if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+        info.tcpi_state == 0) {
+        return true;
+    }
+    return info.tcpi_state == TCP_CLOSE_WAIT;
 }
 
 bool response_has_no_body(const response_parser& parser, http::verb method) {
