List the VMs with the most capacity in lookups

A lookup listed all live VMs of a region alike, and callers choose among them at random. In a fleet with few large and many small VMs, most requests went through small VMs: slow links, pooled connections to targets that time out between requests, and too few requests of a key to know where it is warm.

Records carry the CPU share (limits.cpu-share, limits.cores), and reports a busy flag. Each VM measures the CPU time and the bytes of a request on itself; CPU time without requests is not included, because it would multiply the cost on VMs with few requests and keep their list wide.

--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -35,7 +35,9 @@
     error_code error;
     while (!error && !serializer.is_done()) {
         const socket_timeout timeout(state.core, state.socket, write_timeout(state));
-        co_await http::async_write_some(*state.socket, serializer, capture_error(error));
+        const std::size_t written =
+            co_await http::async_write_some(*state.socket, serializer, capture_error(error));
+        state.core.caller_bytes += written;
     }
     state.write_error = error == http::error::need_buffer ? error_code() : error;
     co_return !state.write_error;
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -95,6 +95,7 @@
         error_code error;
         co_await http::async_read(*state.socket, state.buffer, parser, capture_error(error));
         body.append(chunk_buffer.data(), chunk_buffer.size() - buffer_body.size);
+        state.core.caller_bytes += chunk_buffer.size() - buffer_body.size;
         if (error && error != http::error::need_buffer) {
             co_return error;
         }
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -6,6 +6,7 @@
 #include "asio_types.h"
 #include "deadline_list.h"
 #include "fleet_token_bucket.h"
+#include "lookup_tiers.h"
 #include "mirror_lag.h"
 #include "node_log.h"
 #include "node_metrics.h"
@@ -16,6 +17,7 @@
 #include "recent_uses.h"
 #include "region_shares.h"
 #include "request_cancellation.h"
+#include "request_cost.h"
 #include "retry_budget.h"
 #include "steering_config.h"
 #include "store_mirror.h"
@@ -32,6 +34,8 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace cassiaspan {
 
@@ -81,6 +85,14 @@
 // than `warm`.
 [[nodiscard]] service_times expected_service_times(const service_stats& stats);
 
+// The VMs that lookups for a region list.
+struct lookup_list {
+    lookup_choice choice;
+    instant chosen_at;
+    // Name and caller address of the listed VMs, at most as many as a reply may have.
+    std::vector<std::pair<std::string, socket_address>> vms;
+};
+
 // How long a crash report is included in gossip. This covers several datagrams, because some are lost.
 constexpr milliseconds crash_report_lifetime{3000};
 
@@ -169,6 +181,13 @@
     deadline_list deadlines;
     // Recent delay of the event loop: a request waits for about this time before it is read.
     milliseconds loop_delay{};
+    // Up to when this VM counts as busy, because its event loop was delayed; see is_busy().
+    instant busy_until;
+    // Bytes of request bodies read from callers and of responses written to them, since the start.
+    std::uint64_t caller_bytes = 0;
+    request_cost_meter cost_meter;
+    // The VMs that lookups list, by region.
+    std::map<std::string, lookup_list> lookup_lists;
 
     // Cancellations of the requests that are being forwarded.
     std::set<request_cancellation*> forwarded_requests;
@@ -234,6 +253,11 @@
     return core.mirror_is_verified ? core.mirror.position : store_position{};
 }
 
+// Returns whether the event loop was delayed by over 50 ms within the last second.
+[[nodiscard]] inline bool is_busy(const node_core& core) {
+    return now_of(core) < core.busy_until;
+}
+
 // Returns whether the VM advertises itself as ready for new requests.
 [[nodiscard]] inline bool is_accepting(const node_core& core) {
     return core.phase == node_phase::serving;
--- a/packages/proxy/node_metrics.cpp
+++ b/packages/proxy/node_metrics.cpp
@@ -43,6 +43,10 @@
     append_counter(text, "gossip_received", metrics.gossip_received);
     append_counter(text, "news_pulled", metrics.news_pulled);
     append_counter(text, "store_restores", metrics.store_restores);
+    for (const auto& [region, count] : metrics.lookup_listed_vms) {
+        text += fmt::format("cassiaspan_lookup_listed_vms{{region=\"{}\"}} {}\n", region, count);
+    }
+    text += fmt::format("cassiaspan_busy {}\n", metrics.busy ? 1 : 0);
     std::uint64_t cumulative_count = 0;
     for (std::size_t i = 0; i < latency_bounds_ms.size(); ++i) {
         cumulative_count += metrics.answer_latency.counts.at(i);
--- a/packages/proxy/node_metrics.h
+++ b/packages/proxy/node_metrics.h
@@ -21,7 +21,7 @@
     std::int64_t sum_ms = 0;
 };
 
-// Counts since the start of the process.
+// Counts since the start of the process, and gauges.
 struct node_metrics {
     // By outcome: the status class of a target's response, or the reason for a refusal.
     std::map<std::string, std::uint64_t> requests_by_outcome;
@@ -40,6 +40,10 @@
     std::uint64_t news_pulled = 0;
     // Changes to a later epoch of the store.
     std::uint64_t store_restores = 0;
+    // VMs that this VM's last lookup for a region listed, by region.
+    std::map<std::string, std::size_t> lookup_listed_vms;
+    // The event loop was delayed by over 50 ms within the last second.
+    bool busy = false;
     latency_histogram answer_latency;
 };
 
--- a/packages/proxy/peer_table.cpp
+++ b/packages/proxy/peer_table.cpp
@@ -41,7 +41,10 @@
     peer.gossip_address = *gossip_address;
     peer.relay_address = parse_address(record.relay_address()).value_or(socket_address{});
     peer.relay_key = record.relay_key();
-    // VMs of earlier versions pass the record on without it.
+    // VMs of earlier versions pass the record on without these.
+    if (record.cpu_millicores() != 0) {
+        peer.cpu_millicores = record.cpu_millicores();
+    }
     peer.announces_verified_mirror = peer.announces_verified_mirror || record.announces_verified_copy();
     return &peer;
 }
--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -50,6 +50,8 @@
     incarnation_history incarnations;
     // Bandwidth of the VM's link in Mbit/s; 0 if unknown.
     std::uint32_t link_mbps = 0;
+    // CPU share of the VM in thousandths of a core; 0 if unknown.
+    std::uint32_t cpu_millicores = 0;
     // Must be sent with requests to `relay_address`.
     std::uint64_t relay_key = 0;
     // Whether the VM announces the position of its mirror only while the mirror is verified; see node_core.
@@ -65,6 +67,8 @@
     std::uint64_t sequence = 0;
     // Whether the VM is ready for new requests.
     bool accepting = false;
+    // Whether the VM's event loop was delayed within the last second.
+    bool busy = false;
     // Position of the VM's store mirror.
     store_position mirror_position;
     // Whether the VM reads the store.
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <sys/resource.h>
 
 namespace cassiaspan {
 
@@ -30,12 +31,38 @@
 // Lateness up to this is normal timer inaccuracy and is not counted as loop delay.
 constexpr milliseconds timer_tolerance{5};
 
+// A loop delay over the first makes the VM busy for the second: requests then wait for a good part of the
+// shortest latency objectives, and the flag outlasts several reports.
+constexpr milliseconds busy_loop_delay{50};
+constexpr milliseconds busy_period{1000};
+
 // Updates the loop delay from the lateness of a timer.
 void update_loop_delay(node_core& core, milliseconds lateness) {
     const milliseconds delay = lateness > timer_tolerance ? lateness : milliseconds(0);
     // Increases immediately and halves at each update, because the delayed requests are read over several
     // loop iterations.
     core.loop_delay = std::max(delay, core.loop_delay / 2);
+    if (core.loop_delay > busy_loop_delay) {
+        core.busy_until = now_of(core) + busy_period;
+    }
+}
+
+// Measures what requests cost this VM.
+void sample_own_usage(node_core& core, instant now) {
+    rusage usage{};
+    if (::getrusage(RUSAGE_SELF, &usage) != 0) {
+        return;
+    }
+    const auto to_duration = [](const timeval& time) {
+        return seconds(time.tv_sec) + microseconds(time.tv_usec);
+    };
+    usage_totals totals;
+    totals.cpu_time = to_duration(usage.ru_utime) + to_duration(usage.ru_stime);
+    for (const auto& [name, stats] : core.services) {
+        totals.requests += stats.request_count;
+    }
+    totals.bytes = core.caller_bytes;
+    sample_usage(core.cost_meter, totals, core.requests_in_progress == 0, now);
 }
 
 // The listeners, connections and background tasks of a running VM.
@@ -144,6 +171,8 @@
             remove_stale_relays(this->core);
             clear_silent_peer_loads(this->core);
             update_region_shares(this->core, housekeeping_interval);
+            sample_own_usage(this->core, now);
+            this->core.metrics.busy = is_busy(this->core);
         }
     }
 
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -203,6 +203,7 @@
     record.set_gossip_address(format_address(core.settings.gossip_address));
     record.set_incarnation(core.incarnation);
     record.set_link_mbps(core.settings.link_mbps);
+    record.set_cpu_millicores(core.settings.cpu_millicores);
     record.set_announces_verified_copy(true);
     if (core.settings.relay_address.port != 0) {
         record.set_relay_address(format_address(core.settings.relay_address));
@@ -221,6 +222,7 @@
     record.set_gossip_address(format_address(peer.gossip_address));
     record.set_incarnation(peer.incarnations.current);
     record.set_link_mbps(peer.link_mbps);
+    record.set_cpu_millicores(peer.cpu_millicores);
     record.set_announces_verified_copy(peer.announces_verified_mirror);
     if (peer.relay_address.port != 0) {
         record.set_relay_address(format_address(peer.relay_address));
@@ -240,6 +242,7 @@
     }
     gossip.set_sequence(sequence);
     gossip.set_accepting(is_accepting(core));
+    gossip.set_busy(is_busy(core));
     const store_position announced = announced_mirror_position(core);
     gossip.set_store_epoch(announced.epoch);
     gossip.set_store_revision(announced.revision);
@@ -307,6 +310,7 @@
     forwarded.mutable_sender()->set_incarnation(peer.incarnations.current);
     forwarded.set_sequence(peer.sequence);
     forwarded.set_accepting(peer.accepting);
+    forwarded.set_busy(peer.busy);
     forwarded.set_store_epoch(peer.mirror_position.epoch);
     forwarded.set_store_revision(peer.mirror_position.revision);
     forwarded.set_store_access(encode_access(peer.access));
@@ -367,6 +371,7 @@
     peer->last_heard = now;
     peer->sequence = gossip.sequence();
     peer->accepting = gossip.accepting();
+    peer->busy = gossip.busy();
     peer->mirror_position =
         std::max(peer->mirror_position, store_position{gossip.store_epoch(), gossip.store_revision()});
     peer->access = decode_access(gossip.store_access());
--- a/packages/proxy/vm_report.h
+++ b/packages/proxy/vm_report.h
@@ -9,7 +9,7 @@
 
 namespace cassiaspan {
 
-// Returns this VM's record: name, location, addresses, incarnation and link bandwidth.
+// Returns this VM's record: name, location, addresses, incarnation, link bandwidth and CPU share.
 [[nodiscard]] schema::VmRecord make_vm_record(const node_core& core);
 
 // Returns the record of a peer's current incarnation.
