Place the second home of a key in another availability zone

In large fleets both homes of a key are assumed warm, but they were the first two targets of its order, often of one availability zone. The VMs of the other zones then sent all requests of the key across zones, though bytes between zones are expensive, and the end of the zone left the key cold.

With shared homes, the second home is now the first target of the order that is in another zone of the same region and not degraded, and the second of the order as before if there is none. Requests to another zone cost 5 ms more, so each VM uses the home in its own zone while neither is full.

--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -16,6 +16,11 @@
 // Utilization of all candidates' slots up to which requests are spilled to cold targets with shared_homes.
 constexpr double max_spill_utilization = 0.4;
 
+// Cost in milliseconds of sending a request to another availability zone, with shared_homes. It decides
+// between targets with free slots, whose other costs differ by few milliseconds, but is small compared to
+// waiting for a slot.
+constexpr double other_zone_cost_ms = 5;
+
 // Returns the sort key of the key's target order: targets that are not degraded first, then by region rank,
 // then by rendezvous hash.
 auto preference_key(const placement_candidate& candidate, const placement_request& request) {
@@ -42,7 +47,9 @@
     placement_estimate estimate;
     estimate.latency = static_cast<double>(candidate.round_trip.count()) + service_time +
                        queued / candidate.slots * warm * candidate.service_time_ratio;
-    estimate.cost = estimate.latency + (is_warm ? 0 : cold - warm);
+    const bool is_in_other_zone = request.shared_homes && candidate.zone != request.own_zone;
+    estimate.cost =
+        estimate.latency + (is_warm ? 0 : cold - warm) + (is_in_other_zone ? other_zone_cost_ms : 0);
     estimate.has_free_slot = candidate.load < candidate.slots;
     return estimate;
 }
@@ -62,11 +69,29 @@
 // of a target differently.
 struct key_homes {
     std::size_t primary = 0;
-    // With shared_homes, the second target of the key's order, unless it is in a farther region or more
-    // degraded than the primary.
+    // With shared_homes, the next target of the key's order that is in another availability zone than the
+    // primary and not degraded; the second target of the order if there is none. Never one that is in a
+    // farther region or more degraded than the primary.
     std::optional<std::size_t> secondary;
 };
 
+// Returns the first target of the key's order that is not degraded and in another availability zone of the
+// primary's region; nullopt if there is none.
+std::optional<std::size_t> find_home_in_other_zone(const std::vector<placement_candidate>& candidates,
+                                                   const placement_request& request,
+                                                   const placement_candidate& primary) {
+    std::optional<std::size_t> found;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const placement_candidate& candidate = candidates[i];
+        if (!candidate.degraded && candidate.region_rank == primary.region_rank &&
+            candidate.zone != primary.zone &&
+            (!found || preference_key(candidate, request) < preference_key(candidates[*found], request))) {
+            found = i;
+        }
+    }
+    return found;
+}
+
 // Returns the homes of the request's key. `candidates` must not be empty.
 key_homes find_homes(const std::vector<placement_candidate>& candidates, const placement_request& request) {
     const auto is_preferred = [&](std::size_t left, std::size_t right) {
@@ -81,6 +106,10 @@
         }
     }
     const placement_candidate& primary = candidates[homes.primary];
+    if (request.shared_homes) {
+        const std::optional<std::size_t> other = find_home_in_other_zone(candidates, request, primary);
+        homes.secondary = other ? other : homes.secondary;
+    }
     if (homes.secondary &&
         (!request.shared_homes || candidates[*homes.secondary].region_rank != primary.region_rank ||
          candidates[*homes.secondary].degraded != primary.degraded)) {
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -14,7 +14,8 @@
 // can keep a service in a state in which all targets are busy with cold runs, though warm runs would leave
 // most slots free. With `shared_homes`, the second target of the order is therefore assumed to be warm as
 // well, which is true because all VMs assume it, and nothing is spilled elsewhere while the service is short
-// of slots.
+// of slots. If possible, it lies in another availability zone than the first one: each VM then uses the one
+// in its own zone while neither is full, since bytes between zones are expensive.
 #pragma once
 
 #include "clock.h"
@@ -47,6 +48,8 @@
     bool degraded = false;
     // The target joined recently: other targets are still warm for the keys that it is now primary for.
     bool recently_joined = false;
+    // Hash of the name of the target's availability zone.
+    std::uint64_t zone = 0;
     auto operator<=>(const placement_candidate&) const = default;
 };
 
@@ -67,6 +70,8 @@
     // Assumes the key's first two targets warm, and does not spill while the service is short of slots. For
     // VMs that see too few requests of each key to know which targets are warm.
     bool shared_homes = false;
+    // Hash of the name of the choosing VM's availability zone. Used only with `shared_homes`.
+    std::uint64_t own_zone = 0;
     auto operator<=>(const placement_request&) const = default;
 };
 
@@ -74,7 +79,7 @@
 enum class placement_reason {
     // It is the first in the key's order, or has the lowest cost for a request without a key.
     primary,
-    // It is the second in the key's order, with `shared_homes`.
+    // It is the key's second home, with `shared_homes`.
     secondary,
     // It has recently served the key.
     known_warm,
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -113,6 +113,7 @@
     candidate.region_rank = target.info.region == key_region ? 0 : is_same_region ? 1 : 2;
     candidate.recently_joined = now - target.first_seen < new_target_period;
     candidate.degraded = is_degraded(target.health);
+    candidate.zone = stable_hash(target.info.availability_zone);
     return candidate;
 }
 
@@ -166,7 +167,8 @@
     const bool explore_joined = core.random() % explore_interval_for_new_target == 0;
     const placement choice =
         place_request(candidates, {plan.affinity_hash, expected.warm, expected.cold, explore, explore_joined,
-                                   std::max(time_left, milliseconds(0)), uses_hubs(core)});
+                                   std::max(time_left, milliseconds(0)), uses_hubs(core),
+                                   stable_hash(core.settings.availability_zone)});
     if (!choice.index) {
         return {nullptr, choice.expected_latency, !any_eligible};
     }
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -192,6 +192,59 @@
            {{"all VMs spill a key to the same target", all_vms_spill_a_key_to_the_same_target}},
            run_scenario);
 
+struct zone_row {
+    std::string name;
+    bool shared_homes;
+    // The choosing VM is in the zone of the key's secondary target, not of its primary one.
+    bool is_in_secondary_zone;
+    // Loads of the two targets, which have 4 slots.
+    double primary_load;
+    double secondary_load;
+    // The targets of all zones but the primary target's are degraded.
+    bool others_degraded;
+    bool expects_primary;
+};
+
+// Guards against homes of a key that are all in one availability zone: the requests of the VMs in other zones
+// would all cross zones, and the key would be cold when the zone ends.
+void check_zone(const zone_row& row) {
+    for (std::uint64_t key = 0; key < 50; ++key) {
+        std::vector<placement_candidate> candidates;
+        for (std::uint64_t identity = 11; identity < 20; ++identity) {
+            candidates.push_back(make_candidate(identity, 0));
+            candidates.back().zone = identity % 3;
+        }
+        const auto choose = [&](bool shared_homes, std::uint64_t zone) {
+            return *place_request(candidates,
+                                  {key, warm, cold, false, false, milliseconds(1000), shared_homes, zone})
+                        .index;
+        };
+        const std::size_t primary = choose(false, 0);
+        const std::uint64_t primary_zone = candidates[primary].zone;
+        for (placement_candidate& candidate : candidates) {
+            candidate.degraded = row.others_degraded && candidate.zone != primary_zone;
+        }
+        candidates[primary].load = 9;
+        const std::size_t secondary = choose(true, primary_zone);
+        CPPUNIT_ASSERT(secondary != primary);
+        CPPUNIT_ASSERT_EQUAL(row.others_degraded, candidates[secondary].zone == primary_zone);
+        candidates[primary].load = row.primary_load;
+        candidates[secondary].load = row.secondary_load;
+        const std::uint64_t zone = row.is_in_secondary_zone ? candidates[secondary].zone : primary_zone;
+        CPPUNIT_ASSERT_EQUAL(row.expects_primary ? primary : secondary, choose(row.shared_homes, zone));
+    }
+}
+
+const test_table<zone_row>
+    zones("placement zones",
+          {{"without shared homes, the zone does not matter", false, true, 3, 0, false, true},
+           {"the primary target is in the VM's zone", true, false, 3, 0, false, true},
+           {"the secondary target is in the VM's zone", true, true, 0, 3, false, false},
+           {"the primary target of the VM's zone is full", true, false, 9, 3, false, false},
+           {"the secondary target of the VM's zone is full", true, true, 3, 9, false, true},
+           {"the other zones' targets are degraded", true, false, 9, 3, true, false}},
+          check_zone);
+
 // A target with an LRU cache of `capacity` objects.
 struct lru_target {
     std::deque<std::uint64_t> cached;
@@ -320,6 +373,8 @@
     // Fraction of the requests of the last third that must meet their latency objective.
     double min_in_objective;
     bool shared_homes;
+    // Availability zones that VMs and targets alternate over.
+    std::size_t zones = 1;
 };
 
 constexpr milliseconds step_time{10};
@@ -408,11 +463,12 @@
                 const double ratio = vm.health[i].service_time_ratio;
                 candidate.service_time_ratio = ratio == 0 ? 1 : std::clamp(ratio, 0.5, 8.0);
                 candidate.degraded = is_degraded(vm.health[i]);
+                candidate.zone = i % row.zones;
                 candidates.push_back(candidate);
             }
             const placement placed = place_request(
                 candidates, {key, vm.warm_time, std::max(vm.warm_time, vm.cold_time), random() % 16 == 0,
-                             false, objective_steps * step_time, row.shared_homes});
+                             false, objective_steps * step_time, row.shared_homes, vm_index % row.zones});
             if (!placed.index || targets[*placed.index].queue.size() >= queue_limit) {
                 continue;
             }
@@ -427,12 +483,14 @@
     CPPUNIT_ASSERT_MESSAGE("share " + std::to_string(share), share >= row.min_in_objective);
 }
 
-const test_table<cold_start_row> cold_starts("placement after a cold start",
-                                             {{"8 VMs, 14 targets", 8, 14, 150, 40, 0.5, 0.9, false},
-                                              {"60 VMs, 34 targets", 60, 34, 150, 59, 0.65, 0.9, true},
-                                              {"60 VMs, 68 targets", 60, 68, 346, 31, 0.65, 0.9, true},
-                                              {"195 VMs, 90 targets", 195, 90, 600, 40, 0.65, 0.9, true}},
-                                             check_cold_start);
+const test_table<cold_start_row>
+    cold_starts("placement after a cold start",
+                {{"8 VMs, 14 targets", 8, 14, 150, 40, 0.5, 0.9, false},
+                 {"60 VMs, 34 targets", 60, 34, 150, 59, 0.65, 0.9, true},
+                 {"60 VMs, 68 targets", 60, 68, 346, 31, 0.65, 0.9, true},
+                 {"195 VMs, 90 targets", 195, 90, 600, 40, 0.65, 0.9, true},
+                 {"60 VMs, 68 targets, 2 zones", 60, 68, 346, 31, 0.65, 0.9, true, 2}},
+                check_cold_start);
 
 } // namespace
 } // namespace cassiaspan::test
