--- a/packages/proxy/node_metrics.h
+++ b/packages/proxy/node_metrics.h
@@ -21,7 +21,7 @@
     std::int64_t sum_ms = 0;
 };
 
-// Counts since the start of the process.
+// Counts since the start of the process, and gauges.
 struct node_metrics {
     // By outcome: the status class of a target's response, or the reason for a refusal.
     std::map<std::string, std::uint64_t> requests_by_outcome;
@@ -42,6 +42,10 @@
     std::uint64_t store_restores = 0;
     // Gauge: entries left out of the configuration in force, and its routes of unknown kinds.
     std::uint64_t config_entries_left_out = 0;
+    // VMs that this VM's last lookup for a region listed, by region.
+    std::map<std::string, std::size_t> lookup_listed_vms;
+    // The event loop was delayed by over 50 ms within the last second.
+    bool busy = false;
     latency_histogram answer_latency;
 };
 
