Admit requests by class while a service is short of slots

Cause: at a service that is short of slots, every VM accepted whatever found a free slot or was expected to finish in time. Short urgent requests were judged by the average work of the service, and long ones of low priority took the slots.

Change: requests form classes by the priorities of workspace and route. VMs exchange the counts of each class by gossip, measure its work, divide the usable slots among the classes, and refuse evenly what is beyond a share. Less urgent classes do not queue at targets, and leave slots for more urgent ones. Services whose requests have one class are served and reported as before.

Not measured on a deployment yet.

--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -43,7 +43,7 @@
     estimate.latency = static_cast<double>(candidate.round_trip.count()) + service_time +
                        queued / candidate.slots * warm * candidate.service_time_ratio;
     estimate.cost = estimate.latency + (is_warm ? 0 : cold - warm);
-    estimate.has_free_slot = candidate.load < candidate.slots;
+    estimate.has_free_slot = candidate.load < candidate.usable_slots.value_or(candidate.slots);
     return estimate;
 }
 
@@ -143,6 +143,7 @@
     const std::optional<std::size_t> spill = choose_spill(candidates, request, primary);
     std::optional<std::size_t> best;
     placement_estimate best_estimate;
+    bool is_best_warm = false;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const bool is_primary = homes.primary == i;
         const bool is_assumed_warm =
@@ -153,17 +154,24 @@
             continue;
         }
         const auto rank = [&](std::size_t index, const placement_estimate& each) {
-            return std::make_tuple(candidates[index].degraded, each.cost,
+            const bool is_unusable = candidates[index].usable_slots && !each.has_free_slot;
+            return std::make_tuple(is_unusable, candidates[index].degraded, each.cost,
                                    preference_key(candidates[index], request));
         };
         if (!best || rank(i, estimate) < rank(*best, best_estimate)) {
             best = i;
             best_estimate = estimate;
+            is_best_warm = is_warm;
         }
     }
     // The loop always compares the primary target, so `best` is set.
     const auto latency = milliseconds(static_cast<std::int64_t>(best_estimate.latency));
-    const bool is_acceptable = best_estimate.has_free_slot || latency <= request.max_latency;
+    const bool may_queue = !candidates[*best].usable_slots;
+    const bool is_late_cold_run = request.refuse_late_cold_runs && !is_best_warm &&
+                                  latency > request.max_latency &&
+                                  request.warm_service_time <= request.max_latency;
+    const bool is_acceptable =
+        (best_estimate.has_free_slot && !is_late_cold_run) || (may_queue && latency <= request.max_latency);
     const placement_reason reason = candidates[*best].recently_used ? placement_reason::known_warm
                                     : best == homes.primary         ? placement_reason::primary
                                     : best == homes.secondary       ? placement_reason::secondary
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -35,6 +35,9 @@
     double load = 0;
     // Requests that the target runs concurrently.
     double slots = 1;
+    // Set if the request may not queue at the target: it is sent there only while fewer of the slots are
+    // occupied than this.
+    std::optional<double> usable_slots;
     // Service time at this target relative to the service's average; 1 is average.
     double service_time_ratio = 1;
     // Network round-trip time to the target.
@@ -67,6 +70,9 @@
     // Assumes the key's first two targets warm, and does not spill while the service is short of slots. For
     // VMs that see too few requests of each key to know which targets are warm.
     bool shared_homes = false;
+    // Accepts no run on a cold target that takes longer than max_latency, where a run on a warm one would
+    // not: its slot time is missing for several runs in time. For services that are short of slots.
+    bool refuse_late_cold_runs = false;
     auto operator<=>(const placement_request&) const = default;
 };
 
@@ -95,9 +101,9 @@
     auto operator<=>(const placement&) const = default;
 };
 
-// Chooses the candidate with the lowest cost; candidates that are not degraded come first. Returns no index
-// if there are no candidates, or if the best one has no free slot and its expected latency exceeds
-// max_latency.
+// Chooses the candidate with the lowest cost; candidates without a usable slot come last if the request may
+// not queue, and then degraded ones. Returns no index if there are no candidates, or if the best one has no
+// free slot and its expected latency exceeds max_latency, or the request may not queue there.
 [[nodiscard]] placement place_request(const std::vector<placement_candidate>& candidates,
                                       const placement_request& request);
 
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -188,6 +188,9 @@
             .add("route", plan->route->name)
             .add("priority", plan->priority)
             .add("workspace", plan->workspace != nullptr ? plan->workspace->name : "");
+        if (plan->admission != admission_decision::none) {
+            fields.add("admission", to_string(plan->admission));
+        }
     }
     if (!summary.target.empty()) {
         const auto key = request.head[core.platform.headers().affinity_key];
@@ -254,7 +257,7 @@
 
 // Runs a planned request and writes its response. Returns false if the connection must be closed.
 asio::awaitable<bool> run_request(caller_connection_state& state, request_parser& parser,
-                                  const caller_request& request, const request_plan& plan) {
+                                  const caller_request& request, request_plan& plan) {
     node_core& core = state.core;
     state.request_deadline = plan.deadline;
     auto cancellation = std::make_shared<request_cancellation>();
@@ -429,7 +432,7 @@
         log_request(state.core, request, nullptr, summary);
         co_return false;
     }
-    const auto plan = plan_request(state.core, request);
+    auto plan = plan_request(state.core, request);
     if (!plan) {
         co_return co_await end_refused_request(state, request, plan.error());
     }
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -1,5 +1,6 @@
 #include "forwarding.h"
 
+#include "class_admission.h"
 #include "crash_suspects.h"
 #include "relay.h"
 #include "retry_after.h"
@@ -116,14 +117,16 @@
 }
 
 // Returns the reply to a request that reached no target. Its Retry-After is the time by which the expected
-// finish exceeds the latency objective.
-local_reply make_refusal(node_core& core, const request_plan& plan, const target_selection& selection) {
+// finish exceeds the latency objective, or longer if its class is short of slots.
+local_reply make_refusal(node_core& core, request_plan& plan, const target_selection& selection) {
     if (selection.no_eligible_target) {
         return {503, "no_target", retry_after_without_target(core, plan)};
     }
     const auto time_to_objective =
         std::chrono::duration_cast<milliseconds>(plan.objective_deadline - now_of(core));
-    return {503, "no_room", jittered_retry_after(core, selection.expected_finish - time_to_objective)};
+    record_admission(core, plan, admission_decision::refuse);
+    return {503, "no_room",
+            class_refusal_retry_after(core, plan, selection.expected_finish - time_to_objective)};
 }
 
 // Returns the reply to a request whose attempts have all failed.
@@ -219,6 +222,50 @@
     return {std::move(target), std::move(selection)};
 }
 
+// Selects where the request is sent first. If there is no room, the request waits for a while, unless waiting
+// is of no use; `hop` then has no target if it was cancelled, or if there was still no room at the end.
+asio::awaitable<void> select_first_hop(node_core& core, const caller_request& request, request_plan& plan,
+                                       cancellation_ptr cancellation, next_hop& hop) {
+    const forward_progress progress;
+    const bool goes_first = !has_more_urgent_waiter(core, plan);
+    if (goes_first) {
+        hop = select_next_hop(core, request, plan, progress);
+    }
+    if (hop.target || hop.selection.no_eligible_target) {
+        co_return;
+    }
+    const std::optional<instant> until = end_of_class_wait(core, plan);
+    if (until) {
+        class_waiter waiter(core, plan, *cancellation);
+        plan.admission = admission_decision::wait;
+        while (waiter.is_queued() && now_of(core) < *until) {
+            co_await waiter.wait(*until);
+            if (is_cancelled(*cancellation)) {
+                co_return;
+            }
+            if (waiter.may_try()) {
+                hop = select_next_hop(core, request, plan, progress);
+            }
+            if (hop.target || hop.selection.no_eligible_target) {
+                co_return;
+            }
+        }
+    }
+    if (until || !goes_first) {
+        hop = select_next_hop(core, request, plan, progress);
+    }
+}
+
+// Adds the work that the attempt took to what is known of the request's class.
+void measure_class_work(node_core& core, const request_plan& plan, const target_record& target,
+                        const outgoing_request& outgoing, const attempt_result& result) {
+    if (!target.is_peer && result.outcome == attempt_end::answered) {
+        record_class_time(core, plan,
+                          {result.target_time, result.load_at_send, static_cast<double>(target.info.slots),
+                           outgoing.target_is_warm});
+    }
+}
+
 // Sets the headers of the attempt and records the choice of its target.
 void prepare_attempt(node_core& core, outgoing_request& outgoing, const request_plan& plan,
                      const next_hop& hop, const forward_progress& progress) {
@@ -283,12 +330,25 @@
 }
 
 asio::awaitable<forward_result> forward_request(node_core& core, const caller_request& request,
-                                                const request_plan& plan, body_source remaining_body,
+                                                request_plan& plan, body_source remaining_body,
                                                 cancellation_ptr cancellation, const response_sink& sink) {
+    if (auto refused = refuse_beyond_share(core, plan)) {
+        co_return std::move(*refused);
+    }
     outgoing_request outgoing = make_outgoing(core, request, plan, std::move(remaining_body));
     forward_progress progress;
     for (;;) {
-        const next_hop hop = select_next_hop(core, request, plan, progress);
+        next_hop hop;
+        if (progress.tried.empty()) {
+            co_await select_first_hop(core, request, plan, cancellation, hop);
+        } else {
+            hop = select_next_hop(core, request, plan, progress);
+        }
+        if (cancellation->caller_left) {
+            // The caller left during the wait.
+            record_admission(core, plan, plan.admission);
+            co_return nothing_to_write{false};
+        }
         if (!hop.target) {
             co_return progress.tried.empty() ? make_refusal(core, plan, hop.selection)
                                              : make_failure_reply(core, plan, progress);
@@ -297,11 +357,14 @@
             if (auto refused = consume_workspace_token(core, plan, request)) {
                 co_return std::move(*refused);
             }
+            record_admission(core, plan, plan.admission);
         }
         const target_ptr target = hop.target;
         prepare_attempt(core, outgoing, plan, hop, progress);
         attempt_result result = co_await run_attempt(core, target, outgoing, cancellation, sink);
         record_attempt(core, plan, target, result, progress);
+        measure_class_work(core, plan, *target, outgoing, result);
+        wake_waiters(core, plan.service);
         if (result.streamed) {
             co_return nothing_to_write{result.outcome == attempt_end::answered};
         }
--- a/packages/proxy/node_core.cpp
+++ b/packages/proxy/node_core.cpp
@@ -251,11 +251,14 @@
 }
 
 service_times expected_service_times(const service_stats& stats) {
-    const milliseconds typical =
-        stats.service_time == milliseconds(0) ? default_service_time : stats.service_time;
-    const milliseconds warm = stats.warm_time == milliseconds(0) ? typical : stats.warm_time;
-    const milliseconds cold =
-        stats.cold_time == milliseconds(0) ? warm * default_cold_factor : stats.cold_time;
+    return expected_service_times(stats.service_time, stats.warm_time, stats.cold_time);
+}
+
+service_times expected_service_times(milliseconds service_time, milliseconds warm_time,
+                                     milliseconds cold_time) {
+    const milliseconds typical = service_time == milliseconds(0) ? default_service_time : service_time;
+    const milliseconds warm = warm_time == milliseconds(0) ? typical : warm_time;
+    const milliseconds cold = cold_time == milliseconds(0) ? warm * default_cold_factor : cold_time;
     return {warm, std::max(warm, cold)};
 }
 
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -17,6 +17,7 @@
 #include "region_shares.h"
 #include "request_cancellation.h"
 #include "retry_budget.h"
+#include "service_classes.h"
 #include "steering_config.h"
 #include "store_mirror.h"
 #include "store_reader.h"
@@ -69,6 +70,8 @@
     region_shares shares;
     // Whether this VM reaches the service's targets.
     target_reach reach;
+    // The classes of its requests, for admission control.
+    service_classes classes;
 };
 
 // Expected service times of one request, without queueing, at a warm and at a cold target.
@@ -80,6 +83,9 @@
 // Returns the measured service times, or defaults for those that were not measured yet. `cold` is never less
 // than `warm`.
 [[nodiscard]] service_times expected_service_times(const service_stats& stats);
+// The same for given moving averages: over all requests, over warm and over cold ones.
+[[nodiscard]] service_times expected_service_times(milliseconds service_time, milliseconds warm_time,
+                                                   milliseconds cold_time);
 
 // How long a crash report is included in gossip. This covers several datagrams, because some are lost.
 constexpr milliseconds crash_report_lifetime{3000};
@@ -138,6 +144,8 @@
 
     // Null until the first configuration is read.
     std::shared_ptr<const steering_config> config;
+    // The configuration from which the classes of the services were taken last; see class_admission.h.
+    std::shared_ptr<const steering_config> classes_config;
     target_table targets;
     std::set<std::string> evacuated_zones;
     peer_table peers;
--- a/packages/proxy/node_log.h
+++ b/packages/proxy/node_log.h
@@ -24,6 +24,7 @@
     evacuation_changed = 613,
     peer_changed = 614,
     reach_changed = 615,
+    shortage_changed = 616,
     store_unavailable = 620,
     store_recovered = 621,
     store_restored = 622,
--- a/packages/proxy/node_metrics.cpp
+++ b/packages/proxy/node_metrics.cpp
@@ -38,6 +38,11 @@
     append_by_outcome(text, "relayed", metrics.relayed_by_outcome);
     append_by_outcome(text, "relay_attempts", metrics.relay_attempts_by_outcome);
     append_by_outcome(text, "store_calls", metrics.store_calls_by_outcome);
+    for (const auto& [label, count] : metrics.admissions) {
+        text +=
+            fmt::format("cassiaspan_admission_total{{service=\"{}\",priority=\"{}\",decision=\"{}\"}} {}\n",
+                        label.service, label.priority, label.decision, count);
+    }
     append_counter(text, "target_connections", metrics.target_connections);
     append_counter(text, "gossip_sent", metrics.gossip_sent);
     append_counter(text, "gossip_received", metrics.gossip_received);
--- a/packages/proxy/node_metrics.h
+++ b/packages/proxy/node_metrics.h
@@ -4,6 +4,7 @@
 #include "clock.h"
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -21,6 +22,15 @@
     std::int64_t sum_ms = 0;
 };
 
+// A decision about requests of one class of a service.
+struct admission_label {
+    std::string service;
+    // The class's pair of priorities, workspace and route, such as "0.2".
+    std::string priority;
+    std::string decision;
+    auto operator<=>(const admission_label&) const = default;
+};
+
 // Counts since the start of the process.
 struct node_metrics {
     // By outcome: the status class of a target's response, or the reason for a refusal.
@@ -33,6 +43,8 @@
     std::map<std::string, std::uint64_t> relayed_by_outcome;
     std::map<std::string, std::uint64_t> relay_attempts_by_outcome;
     std::map<std::string, std::uint64_t> store_calls_by_outcome;
+    // Requests of services with classes, by what admission control decided.
+    std::map<admission_label, std::uint64_t> admissions;
     std::uint64_t target_connections = 0;
     std::uint64_t gossip_sent = 0;
     std::uint64_t gossip_received = 0;
--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -26,11 +26,20 @@
 // passed.
 constexpr milliseconds peer_retention{10'000};
 
+// Number of requests of one class of a service. `service` is the lower 32 bits of the hash of the name,
+// `priority` the class's packed pair (policy/admission.h).
+struct class_count {
+    std::uint32_t service = 0;
+    std::uint32_t priority = 0;
+    std::uint64_t asked = 0;
+};
+
 // The counters of a peer as last forwarded by this VM as a hub. Keys are the lower 32 bits of the hash of the
 // workspace or service name.
 struct forwarded_counts {
     std::unordered_map<std::uint32_t, std::uint64_t> workspace_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> service_demands;
+    std::vector<class_count> class_demands;
 };
 
 // Requests in flight by target. Keys are the lower 32 bits of the hash of the target's id.
@@ -78,6 +87,7 @@
     target_use_counts target_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> workspace_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> service_demands;
+    std::vector<class_count> class_demands;
     // Whether a report has had all counters, so that those that are still unknown were zero then.
     bool has_all_counters = false;
     // Sums that the peer sent as a first hub, and when the last ones arrived: requests in flight of its zone,
--- a/packages/proxy/request_cancellation.cpp
+++ b/packages/proxy/request_cancellation.cpp
@@ -7,6 +7,9 @@
         error_code ignored;
         cancellation.active_socket->close(ignored);
     }
+    if (cancellation.active_wait != nullptr) {
+        cancellation.active_wait->cancel();
+    }
 }
 
 void cancel_on_timeout(request_cancellation& cancellation) {
--- a/packages/proxy/request_cancellation.h
+++ b/packages/proxy/request_cancellation.h
@@ -21,6 +21,8 @@
     bool finished = false;
     // The socket to a target that the request is using; null if there is none. Cancelling closes it.
     tcp::socket* active_socket = nullptr;
+    // The timer for which the request waits; null if it does not wait. Cancelling ends the wait.
+    asio::steady_timer* active_wait = nullptr;
 };
 
 using cancellation_ptr = std::shared_ptr<request_cancellation>;
@@ -30,7 +32,7 @@
     return cancellation.timed_out || cancellation.caller_left || cancellation.body_too_large;
 }
 
-// Closes the active socket, if any, so that pending operations on it fail.
+// Closes the active socket, if any, so that pending operations on it fail, and ends the active wait.
 void close_active_socket(request_cancellation& cancellation);
 
 // Marks the request as timed out and closes its active socket. Does nothing after the request has finished.
--- a/packages/proxy/request_plan.cpp
+++ b/packages/proxy/request_plan.cpp
@@ -1,6 +1,7 @@
 #include "request_plan.h"
 
 #include "address.h"
+#include "class_admission.h"
 #include "stable_hash.h"
 
 #include <algorithm>
@@ -72,6 +73,7 @@
     plan.objective_deadline = request.received_at + std::min(time_limit, plan.route->latency_objective);
     plan.priority = plan.workspace != nullptr && plan.workspace->priority ? *plan.workspace->priority
                                                                           : plan.route->priority;
+    plan.rank = make_class_priority(*plan.route, plan.workspace);
 }
 
 // Sets the fingerprint and refuses the request if it is quarantined for crashing targets.
@@ -134,6 +136,7 @@
     record_demand(stats.demand_by_region[core.settings.region], 1, now);
     stats.first_request_time = stats.first_request_time.value_or(now);
     ++stats.request_count;
+    count_class_request(core, plan);
 }
 
 } // namespace
--- a/packages/proxy/request_plan.h
+++ b/packages/proxy/request_plan.h
@@ -55,6 +55,9 @@
     std::size_t max_attempts = 1;
     // 0 is the most urgent.
     int priority = 0;
+    // The priority by which the request belongs to a class of its service, and what was decided about it.
+    class_priority rank;
+    admission_decision admission = admission_decision::none;
     // The request is cancelled at this time.
     instant deadline;
     // A response up to this time meets the latency objective of the route. Not later than `deadline`.
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -3,6 +3,7 @@
 #include "accept_loop.h"
 #include "background_task.h"
 #include "caller_session.h"
+#include "class_admission.h"
 #include "gossip.h"
 #include "reach_tracking.h"
 #include "region_balance.h"
@@ -144,6 +145,7 @@
             remove_stale_relays(this->core);
             clear_silent_peer_loads(this->core);
             update_region_shares(this->core, housekeeping_interval);
+            update_class_admission(this->core, housekeeping_interval);
         }
     }
 
--- a/packages/proxy/target_selection.cpp
+++ b/packages/proxy/target_selection.cpp
@@ -1,5 +1,6 @@
 #include "target_selection.h"
 
+#include "class_admission.h"
 #include "fleet_hubs.h"
 #include "stable_hash.h"
 
@@ -144,7 +145,7 @@
                                const std::vector<target_ptr>& tried) {
     const instant now = now_of(core);
     const service_stats& stats = get_service_stats(core, plan.service);
-    const service_times expected = expected_service_times(stats);
+    const service_times expected = class_service_times(core, plan);
     std::vector<target_ptr> targets = find_eligible(core, plan, tried, accepts_new_requests, now);
     if (targets.empty()) {
         targets = find_eligible(core, plan, tried, is_last_resort, now);
@@ -158,15 +159,22 @@
         plan.affinity_hash ? region_of_key(stats.shares, own_region, *plan.affinity_hash) : own_region;
     drop_closed_regions(core, stats.shares, key_region, targets, now);
     candidates.reserve(targets.size());
+    const std::optional<double> occupancy = more_urgent_occupancy(core, plan);
     for (const target_ptr& target : targets) {
-        candidates.push_back(make_candidate(core, *target, plan.affinity_hash, key_region, now));
+        placement_candidate& candidate =
+            candidates.emplace_back(make_candidate(core, *target, plan.affinity_hash, key_region, now));
+        if (occupancy) {
+            candidate.usable_slots =
+                slots_for_class(candidate.slots, *occupancy * candidate.slots, candidate.identity);
+        }
     }
     const auto time_left = std::chrono::duration_cast<milliseconds>(plan.objective_deadline - now);
     const bool explore = core.random() % explore_interval == 0;
     const bool explore_joined = core.random() % explore_interval_for_new_target == 0;
     const placement choice =
         place_request(candidates, {plan.affinity_hash, expected.warm, expected.cold, explore, explore_joined,
-                                   std::max(time_left, milliseconds(0)), uses_hubs(core)});
+                                   std::max(time_left, milliseconds(0)), uses_hubs(core),
+                                   is_class_service_short(core, plan)});
     if (!choice.index) {
         return {nullptr, choice.expected_latency, !any_eligible};
     }
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -1,5 +1,6 @@
 #include "vm_report.h"
 
+#include "class_admission.h"
 #include "fleet_hubs.h"
 
 #include <algorithm>
@@ -122,6 +123,7 @@
         const std::uint64_t new_requests =
             has_baseline && demand.asked() > known_count ? demand.asked() - known_count : 0;
         known_count = std::max(known_count, demand.asked());
+        apply_class_demands(core, peer, demand);
         for (auto& [name, stats] : core.services) {
             if (new_requests > 0 && stats.name_hash == demand.service()) {
                 record_demand(stats.demand_by_region[peer.region], static_cast<double>(new_requests),
@@ -254,6 +256,7 @@
         schema::ServiceDemand& entry = *gossip.add_service_demands();
         entry.set_service(stats.name_hash);
         entry.set_asked(stats.request_count);
+        add_class_demands(stats.classes, entry);
     }
     gossip.set_has_all_counters(true);
     gossip.set_targets_unreachable(core.reach.is_lost);
@@ -328,11 +331,13 @@
     }
     for (const auto& [service, asked] : peer.service_demands) {
         std::uint64_t& forwarded_count = last_forwarded.service_demands[service];
-        if (send_all_counts || forwarded_count != asked) {
-            schema::ServiceDemand& demand = *forwarded.add_service_demands();
+        schema::ServiceDemand demand;
+        forward_class_demands(peer, service, last_forwarded, send_all_counts, demand);
+        if (send_all_counts || forwarded_count != asked || !demand.classes().empty()) {
             demand.set_service(service);
             demand.set_asked(asked);
             forwarded_count = asked;
+            *forwarded.add_service_demands() = std::move(demand);
         }
     }
     return forwarded;
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -33,12 +33,14 @@
     // Index of the expected choice; -1 if none.
     int expected;
     bool shared_homes = false;
+    bool refuse_late_cold_runs = false;
 };
 
 void check_choice(const choice_row& row) {
     // The rows are built for the primary target of key 7, which primary_of_key_7() determines.
-    const placement placed = place_request(
-        row.candidates, {7, warm, cold, row.assume_primary_warm, true, row.max_latency, row.shared_homes});
+    const placement placed =
+        place_request(row.candidates, {7, warm, cold, row.assume_primary_warm, true, row.max_latency,
+                                       row.shared_homes, row.refuse_late_cold_runs});
     CPPUNIT_ASSERT_EQUAL(row.expected, placed.index ? static_cast<int>(*placed.index) : -1);
 }
 
@@ -57,6 +59,11 @@
     return candidate;
 }
 
+placement_candidate with_usable_slots(placement_candidate candidate, double slots) {
+    candidate.usable_slots = slots;
+    return candidate;
+}
+
 int primary_of_key_7() {
     const std::vector<placement_candidate> both{make_candidate(11, 0), make_candidate(12, 0)};
     return static_cast<int>(*place_request(both, {7, warm, cold, false, false, milliseconds(1000)}).index);
@@ -83,6 +90,48 @@
          false,
          generous,
          1},
+        // A low class must not use the slots, or the queue, that more urgent classes need.
+        {"does not queue where a class may not",
+         {with_usable_slots(make_candidate(primary, 4), 4)},
+         false,
+         generous,
+         -1},
+        {"uses the slots of its class",
+         {with_usable_slots(make_candidate(primary, 2), 3)},
+         false,
+         generous,
+         0},
+        {"leaves the slots that are kept for others",
+         {with_usable_slots(make_candidate(primary, 3), 3)},
+         false,
+         generous,
+         -1},
+        {"prefers a warm target with a usable slot",
+         {with_usable_slots(make_candidate(primary, 4), 4),
+          with_usable_slots(recently_used(make_candidate(other, 3, false)), 4)},
+         false,
+         generous,
+         1},
+        // A cold run that comes late takes the slot time of several warm runs in time.
+        {"refuses a late cold run of a service that is short of slots",
+         {make_candidate(primary, 0), recently_used(make_candidate(other, 30))},
+         false,
+         milliseconds(200),
+         -1,
+         false,
+         true},
+        {"runs a late cold run otherwise",
+         {make_candidate(primary, 0), recently_used(make_candidate(other, 30))},
+         false,
+         milliseconds(200),
+         0},
+        {"runs cold late if a warm run would be late as well",
+         {make_candidate(primary, 0), recently_used(make_candidate(other, 30))},
+         false,
+         milliseconds(50),
+         0,
+         false,
+         true},
         {"never runs cold on a target without spare capacity",
          {make_candidate(primary, 12), make_candidate(other, 3)},
          false,
