--- a/packages/proxy/node_log.h
+++ b/packages/proxy/node_log.h
@@ -25,6 +25,7 @@
     peer_changed = 614,
     reach_changed = 615,
     lookup_list_changed = 618,
+    shortage_changed = 616,
     store_unavailable = 620,
     store_recovered = 621,
     store_restored = 622,
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -3,6 +3,7 @@
 #include "accept_loop.h"
 #include "background_task.h"
 #include "caller_session.h"
+#include "class_admission.h"
 #include "gossip.h"
 #include "reach_tracking.h"
 #include "region_balance.h"
@@ -173,6 +174,7 @@
             update_region_shares(this->core, housekeeping_interval);
             sample_own_usage(this->core, now);
             this->core.metrics.busy = is_busy(this->core);
+            update_class_admission(this->core, housekeeping_interval);
         }
     }
 
