Hold a VM to the memory and descriptors of its machine

No code read limits.memory-mb. Callers decided how much a VM held: up to 512 kB for each chunked or slow body, receive buffers that the kernel enlarges by itself, and any number of connections.

Divide the memory into parts (policy/memory_budget) and reserve in them before bytes are read (proxy/memory_use): - A body is reserved from its head, or as it grows. When the part is used up, the body that has been read longest gives way with 408, or the new request is refused with 503 and Retry-After before its body is read. - The number of callers' connections follows from memory and descriptors; beyond it the one that has been idle longest is closed. The listeners for readiness, lookups and metrics are bounded as well. - A response is read on while its caller is slow, up to the budget, and closed when the memory is needed and its caller takes nothing. This no longer counts as a failure of the target. - Receive buffers of callers and targets have a fixed size, bodies in flight per target are bounded, and waiting reads hold no 16 kB arrays. Settings without memory-mb have no budget and behave as before.

--- a/packages/proxy/accept_loop.h
+++ b/packages/proxy/accept_loop.h
@@ -17,4 +17,9 @@
 asio::awaitable<void> accept_connections(node_core& core, tcp::acceptor& acceptor,
                                          connection_handler handler);
 
+// Returns a handler that serves with `handler` no more connections at a time than the budget allows for one
+// listener. Beyond that, the oldest connection is closed, or the new one if all are younger than 1 s. Closed
+// ones are counted in the metrics and logged.
+connection_handler limit_connections(node_core& core, connection_handler handler);
+
 } // namespace cassiaspan
--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -1,5 +1,6 @@
 #include "caller_responses.h"
 
+#include "background_task.h"
 #include "connection_pressure.h"
 #include "relay.h"
 
@@ -13,6 +14,11 @@
 // using a connection before it is closed.
 constexpr milliseconds keep_alive_margin{1000};
 
+// Bytes of a response that may wait for the caller, whatever else waits, and the most that may. The first is
+// one read from a target.
+constexpr std::size_t min_queue_bytes = std::size_t{16} * 1024;
+constexpr std::size_t max_queue_bytes = std::size_t{1024} * 1024;
+
 using local_response = http::response<http::string_body>;
 
 // Returns the idle timeout for callers' connections at the current number of open connections.
@@ -23,9 +29,13 @@
 
 // Returns how long a write may wait for the caller to accept bytes. The request's deadline comes first: a
 // round trip to the caller may take longer than the idle timeout.
+milliseconds write_timeout(const node_core& core, instant request_deadline) {
+    const auto time_left = std::chrono::ceil<milliseconds>(request_deadline - now_of(core));
+    return std::max(current_caller_limits(core).idle_timeout, time_left);
+}
+
 milliseconds write_timeout(const caller_connection_state& state) {
-    const auto time_left = std::chrono::ceil<milliseconds>(state.request_deadline - now_of(state.core));
-    return std::max(current_caller_limits(state.core).idle_timeout, time_left);
+    return write_timeout(state.core, state.request_deadline);
 }
 
 // Writes what the serializer holds: all of the message, or the chunk in its body. Returns false if the
@@ -75,57 +85,159 @@
     return head;
 }
 
+// The bytes of a response that its caller has not taken yet, in a VM with limited memory. They are written by
+// a coroutine of their own, so that the target's response is read on meanwhile. That coroutine may end after
+// the request and its connection state.
+struct response_queue {
+    response_queue(node_core& core_in, std::shared_ptr<tcp::socket> socket_in, instant deadline)
+        : core(core_in), socket(std::move(socket_in)), request_deadline(deadline), changed(core_in.context),
+          reserved(core_in.memory, memory_part::responses) {
+        this->changed.expires_at(asio::steady_timer::time_point::max());
+    }
+    node_core& core;
+    std::shared_ptr<tcp::socket> socket;
+    instant request_deadline;
+    http::response<http::buffer_body> message;
+    std::unique_ptr<http::response_serializer<http::buffer_body>> serializer;
+    // Bytes that wait, and those that are being written.
+    std::string waiting;
+    std::string writing;
+    bool is_writing = false;
+    error_code error;
+    // Cancelled when bytes were written or the connection failed.
+    asio::steady_timer changed;
+    memory_reservation reserved;
+};
+using response_queue_ptr = std::shared_ptr<response_queue>;
+
+std::size_t queued_bytes(const response_queue& queue) {
+    return queue.waiting.size() + queue.writing.size();
+}
+
+// Returns how many bytes may wait for the caller before the target's response is no longer read.
+std::size_t queue_allowance(const response_queue& queue) {
+    return min_queue_bytes + share_of_one(queue.core.memory, memory_part::responses, max_queue_bytes);
+}
+
+// Writes what waits, until nothing does.
+asio::awaitable<void> write_queue(response_queue_ptr queue) {
+    while (!queue->error && !queue->waiting.empty()) {
+        queue->writing.clear();
+        std::swap(queue->writing, queue->waiting);
+        auto& body = queue->message.body();
+        body.data = queue->writing.data();
+        body.size = queue->writing.size();
+        body.more = true;
+        error_code error;
+        while (!error) {
+            const socket_timeout timeout(queue->core, queue->socket,
+                                         write_timeout(queue->core, queue->request_deadline));
+            co_await http::async_write_some(*queue->socket, *queue->serializer, capture_error(error));
+        }
+        if (error != http::error::need_buffer && !queue->error) {
+            queue->error = error;
+        }
+        queue->writing = std::string();
+        queue->reserved.resize(queued_bytes(*queue));
+        queue->changed.cancel();
+    }
+    queue->is_writing = false;
+    queue->changed.cancel();
+}
+
+// Waits until at most `limit` bytes are queued. A caller that reads nothing loses its connection when the
+// memory is needed for others. Returns false if the connection failed or was closed.
+asio::awaitable<bool> wait_for_queue(response_queue_ptr queue, std::size_t limit) {
+    evictable slow_reader(queue->core.memory.slow_readers, now_of(queue->core), [&slow = *queue] {
+        error_code ignored;
+        slow.error = asio::error::timed_out;
+        slow.socket->close(ignored);
+        slow.changed.cancel();
+        ++slow.core.metrics.connections_refused_by_reason["slow_reader"];
+    });
+    while (queue->is_writing && !queue->error && queued_bytes(*queue) > limit) {
+        error_code ignored;
+        co_await queue->changed.async_wait(capture_error(ignored));
+    }
+    co_return !queue->error;
+}
+
 // Streams a large response to the caller. See response_sink for the functions.
 struct streaming_writer {
     caller_connection_state& state;
     unsigned version;
-    http::response<http::buffer_body> message;
-    std::unique_ptr<http::response_serializer<http::buffer_body>> serializer;
+    // Whether the response is written while it is read.
+    bool is_queued;
+    response_queue_ptr queue;
 
     asio::awaitable<bool> begin(const http::response_header<>& head, std::optional<std::uint64_t> length) {
-        this->message.base() = copy_head(head, this->version);
-        this->message.erase(http::field::content_length);
+        this->queue = std::make_shared<response_queue>(this->state.core, this->state.socket,
+                                                       this->state.request_deadline);
+        auto& message = this->queue->message;
+        message.base() = copy_head(head, this->version);
+        message.erase(http::field::content_length);
         if (length) {
-            this->message.content_length(*length);
+            message.content_length(*length);
         } else if (this->version >= 11) {
-            this->message.chunked(true);
+            message.chunked(true);
         } else {
             this->state.keep_alive = false;
         }
-        set_connection_fields(this->state, this->message);
-        this->message.body().data = nullptr;
-        this->message.body().more = true;
+        set_connection_fields(this->state, message);
+        message.body().data = nullptr;
+        message.body().more = true;
         this->state.has_begun_response = true;
-        this->serializer = std::make_unique<http::response_serializer<http::buffer_body>>(this->message);
+        this->queue->serializer = std::make_unique<http::response_serializer<http::buffer_body>>(message);
         const socket_timeout timeout(this->state.core, this->state.socket, write_timeout(this->state));
-        co_await http::async_write_header(*this->state.socket, *this->serializer,
+        co_await http::async_write_header(*this->state.socket, *this->queue->serializer,
                                           capture_error(this->state.write_error));
         co_return !this->state.write_error;
     }
 
     asio::awaitable<bool> write(const char* data, std::size_t size) {
-        this->message.body().data = const_cast<char*>(data);
-        this->message.body().size = size;
-        this->message.body().more = true;
-        return write_remaining(this->state, *this->serializer);
+        if (!this->is_queued) {
+            this->queue->message.body().data = const_cast<char*>(data);
+            this->queue->message.body().size = size;
+            this->queue->message.body().more = true;
+            const bool written = co_await write_remaining(this->state, *this->queue->serializer);
+            co_return written;
+        }
+        this->queue->waiting.append(data, size);
+        this->queue->reserved.resize(queued_bytes(*this->queue));
+        if (!this->queue->is_writing) {
+            this->queue->is_writing = true;
+            spawn_task(this->state.core, "response writer", write_queue(this->queue));
+        }
+        const std::size_t allowance = queue_allowance(*this->queue);
+        bool ok = !this->queue->error;
+        if (ok && queued_bytes(*this->queue) > allowance) {
+            ok = co_await wait_for_queue(this->queue, allowance);
+        }
+        this->state.write_error = this->queue->error;
+        co_return ok;
     }
 
     asio::awaitable<void> finish(bool complete) {
+        if (complete) {
+            complete = co_await wait_for_queue(this->queue, 0);
+            this->state.write_error = this->queue->error;
+        }
+        auto& message = this->queue->message;
         if (!complete) {
             error_code error;
             // The missing last chunk, or the missing bytes of its Content-Length, show that the response is
             // truncated. A response without both would look complete, so the connection is reset.
             this->state.keep_alive = false;
-            if (!this->message.chunked() && !this->message.has_content_length()) {
+            if (!message.chunked() && !message.has_content_length()) {
                 this->state.socket->set_option(asio::socket_base::linger(true, 0), error);
             }
             this->state.socket->close(error);
             co_return;
         }
-        this->message.body().data = nullptr;
-        this->message.body().size = 0;
-        this->message.body().more = false;
-        co_await write_remaining(this->state, *this->serializer);
+        message.body().data = nullptr;
+        message.body().size = 0;
+        message.body().more = false;
+        co_await write_remaining(this->state, *this->queue->serializer);
     }
 };
 
@@ -170,6 +282,9 @@
     const unsigned status = source.head.result_int();
     const bool has_no_body = request.method() == http::verb::head || status == 204 || status == 304;
     if (!has_no_body) {
+        if (state.request_memory != nullptr) {
+            state.request_memory->resize(state.request_memory->size() + source.body.size());
+        }
         response.body() = std::move(source.body);
         response.content_length(response.body().size());
     }
@@ -178,7 +293,8 @@
 }
 
 response_sink make_response_sink(caller_connection_state& state, unsigned version) {
-    const auto writer = std::make_shared<streaming_writer>(streaming_writer{state, version, {}, nullptr});
+    const auto writer = std::make_shared<streaming_writer>(
+        streaming_writer{state, version, state.core.memory.budget.has_value(), nullptr});
     response_sink sink;
     sink.begin = [writer](const http::response_header<>& head, std::optional<std::uint64_t> length) {
         return writer->begin(head, length);
--- a/packages/proxy/caller_responses.h
+++ b/packages/proxy/caller_responses.h
@@ -35,6 +35,8 @@
     bool has_read_body = true;
     // Until when the caller waits for the response to the current request.
     instant request_deadline;
+    // What the current request has reserved while it is at a target; null before.
+    memory_reservation* request_memory = nullptr;
     // Why the last response was not written completely; no error if it was.
     error_code write_error;
 };
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -6,9 +6,13 @@
 #include "forwarding.h"
 #include "relay.h"
 #include "request_plan.h"
+#include "retry_after.h"
 
+#include <algorithm>
 #include <array>
 #include <limits>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace cassiaspan {
 
@@ -18,6 +22,20 @@
 // the caller and the request can be retried.
 constexpr std::size_t max_buffered_body_bytes = std::size_t{512} * 1024;
 constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
+// First read of a body. A caller that sends nothing holds only this.
+constexpr std::size_t first_body_read_bytes = 1024;
+// With limited memory: reserved for a request whose body is being read, without its body: coroutine frames
+// and the parsed header.
+constexpr std::size_t body_reader_bytes = std::size_t{16} * 1024;
+// With limited memory: a body of which the caller did not state how long it waits must have been read after
+// this time.
+constexpr milliseconds default_body_timeout{30'000};
+// With limited memory: largest receive buffer of a connection whose body has been admitted. At a round trip
+// of 16 ms it allows 32 Mbit/s.
+constexpr std::size_t max_body_receive_buffer = std::size_t{64} * 1024;
+// Mean Retry-After of a request that is refused for want of memory. Most requests end, and release theirs,
+// within this time.
+constexpr milliseconds memory_retry_after{500};
 // Limit of the bytes of a body that are kept until they can be parsed: a chunk's size with its extensions, or
 // the trailer.
 constexpr std::size_t max_unparsed_body_bytes = std::size_t{32} * 1024;
@@ -63,6 +81,11 @@
 
 using request_parser = http::request_parser<http::buffer_body>;
 
+void cancel_operations(caller_connection_state& state) {
+    error_code ignored;
+    state.socket->cancel(ignored);
+}
+
 // Waits for the first bytes of a request. Returns false if the connection ended or was idle for too long.
 asio::awaitable<bool> wait_for_request(caller_connection_state& state) {
     // Most request headers fit into this. It limits the memory that an idle connection uses.
@@ -72,6 +95,8 @@
     }
     const socket_timeout timeout(state.core, state.socket,
                                  state.idle_timeout.value_or(current_caller_limits(state.core).idle_timeout));
+    evictable idle(state.core.memory.idle_connections, now_of(state.core),
+                   [&state] { cancel_operations(state); });
     error_code error;
     std::size_t bytes =
         co_await state.socket->async_read_some(state.buffer.prepare(first_read_bytes), capture_error(error));
@@ -83,23 +108,121 @@
     co_return !error;
 }
 
-// Appends body bytes to `body` until it has at least `limit` bytes or the body ends.
-asio::awaitable<error_code> read_body(caller_connection_state& state, request_parser& parser,
-                                      std::string& body, std::size_t limit) {
-    std::array<char, read_chunk_bytes>
-        chunk_buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by reads
-    while (!parser.is_done() && body.size() < limit) {
-        auto& buffer_body = parser.get().body();
-        buffer_body.data = chunk_buffer.data();
-        buffer_body.size = chunk_buffer.size();
-        error_code error;
-        co_await http::async_read(*state.socket, state.buffer, parser, capture_error(error));
-        body.append(chunk_buffer.data(), chunk_buffer.size() - buffer_body.size);
-        if (error && error != http::error::need_buffer) {
-            co_return error;
+// Reads bytes of the body, at most `room`, and appends them to `body`.
+asio::awaitable<error_code> read_body_chunk(caller_connection_state& state, request_parser& parser,
+                                            std::string& body, std::size_t room) {
+    const std::size_t old_size = body.size();
+    body.resize(old_size + room);
+    auto& buffer_body = parser.get().body();
+    buffer_body.data = body.data() + old_size;
+    buffer_body.size = room;
+    error_code error;
+    co_await http::async_read(*state.socket, state.buffer, parser, capture_error(error));
+    body.resize(old_size + room - buffer_body.size);
+    co_return error == http::error::need_buffer ? error_code() : error;
+}
+
+// Returns the number of bytes of a body that are read before a target is chosen.
+std::size_t buffered_body_limit(const node_core& core) {
+    return std::max(read_chunk_bytes,
+                    share_of_one(core.memory, memory_part::request_bodies, max_buffered_body_bytes));
+}
+
+// Reserves memory for the body before any of it is read: the whole buffered part if its length is announced,
+// otherwise only a first read. Returns false if there is none.
+bool reserve_body(caller_connection_state& state, const std::optional<std::uint64_t>& length,
+                  std::size_t limit, memory_reservation& reserved) {
+    const std::size_t first = length ? static_cast<std::size_t>(std::min<std::uint64_t>(*length, limit))
+                                     : 2 * first_body_read_bytes;
+    return reserve_or_evict(reserved, body_reader_bytes + first, state.core.memory.slow_bodies,
+                            now_of(state.core));
+}
+
+// Sets the connection's receive buffer, and with it how much the caller may send ahead.
+void set_receive_buffer(caller_connection_state& state, std::size_t bytes) {
+    error_code ignored;
+    const auto value = static_cast<int>(bytes);
+    state.socket->set_option(asio::socket_base::receive_buffer_size(value), ignored);
+    ::setsockopt(state.socket->native_handle(), IPPROTO_TCP, TCP_WINDOW_CLAMP, &value, sizeof value);
+}
+
+// Limits again what the caller may send ahead.
+void narrow_receive_buffer(caller_connection_state& state) {
+    if (state.core.memory.budget) {
+        set_receive_buffer(state, state.core.memory.budget->caller_receive_buffer);
+    }
+}
+
+// Lets the caller send the body at the speed of its link, as long as much of the memory for bodies is free.
+void widen_receive_buffer(caller_connection_state& state, std::size_t limit, memory_reservation& reserved) {
+    const memory_use& memory = state.core.memory;
+    if (memory.budget && limit > memory.budget->caller_receive_buffer &&
+        used_of(memory, memory_part::request_bodies) < size_of(memory, memory_part::request_bodies) / 2) {
+        const std::size_t bytes = std::min(limit, max_body_receive_buffer);
+        if (reserved.try_resize(reserved.size() + 2 * bytes)) {
+            set_receive_buffer(state, bytes);
+        }
+    }
+}
+
+// How reading the buffered part of a body ended.
+struct body_read {
+    error_code error;
+    // Set if the body was not read for want of memory or time.
+    std::optional<local_reply> refusal;
+};
+
+// Returns the reply to a request for which there is no memory. Nothing of it has been sent to a target.
+local_reply make_memory_refusal(node_core& core) {
+    std::uniform_real_distribution<double> jitter(0.5, 1.5);
+    return {503, "no_memory", choose_retry_after(memory_retry_after, jitter(core.random))};
+}
+
+// Appends body bytes to `body` until it has at least `limit` bytes or the body ends. Memory beyond what has
+// been reserved is reserved before the bytes are read; a body that gets none is not read further.
+asio::awaitable<body_read> read_buffered_body(caller_connection_state& state, request_parser& parser,
+                                              caller_request& request, std::size_t limit,
+                                              memory_reservation& reserved) {
+    node_core& core = state.core;
+    const bool is_limited = core.memory.budget.has_value();
+    std::optional<socket_timeout> timeout;
+    std::optional<evictable> listed;
+    if (is_limited) {
+        timeout.emplace(core, state.socket, request.timeout.value_or(default_body_timeout));
+        listed.emplace(core.memory.slow_bodies, now_of(core), [&state] {
+            ++state.core.metrics.connections_refused_by_reason["slow_body"];
+            cancel_operations(state);
+        });
+    }
+    if (is_limited && request.body_length) {
+        // Avoids the copies of a string that grows. Pages that no byte was read to are not resident.
+        const auto announced = static_cast<std::size_t>(std::min<std::uint64_t>(*request.body_length, limit));
+        request.body.reserve(announced + read_chunk_bytes);
+    }
+    while (!parser.is_done() && request.body.size() < limit) {
+        const std::size_t room = std::clamp(request.body.size(), first_body_read_bytes, read_chunk_bytes);
+        // The reservation of an announced body covers all of it. A string that grows doubles its memory.
+        const std::size_t needed = body_reader_bytes + 2 * (request.body.size() + room);
+        if (!request.body_length && needed > reserved.size() &&
+            !reserve_or_evict(reserved, needed, core.memory.slow_bodies, now_of(core))) {
+            co_return body_read{{}, make_memory_refusal(core)};
         }
+        const error_code error = co_await read_body_chunk(state, parser, request.body, room);
+        if ((listed && listed->is_evicted()) || (is_limited && error == asio::error::operation_aborted)) {
+            co_return body_read{error, local_reply{408, "body_timeout", {}}};
+        }
+        if (error) {
+            co_return body_read{error, {}};
+        }
+    }
+    if (is_limited && parser.is_done()) {
+        if (!request.body_length) {
+            request.body.shrink_to_fit();
+        }
+        narrow_receive_buffer(state);
+        reserved.resize(body_reader_bytes + request.body.size());
     }
-    co_return error_code{};
+    co_return body_read{};
 }
 
 // The end of a request, as it is logged.
@@ -234,7 +357,10 @@
     source.read = [&state, &parser,
                    cancellation = std::move(cancellation)](std::string& chunk) -> asio::awaitable<bool> {
         chunk.clear();
-        const error_code error = co_await read_body(state, parser, chunk, 1);
+        error_code error;
+        while (!error && chunk.empty() && !parser.is_done()) {
+            error = co_await read_body_chunk(state, parser, chunk, read_chunk_bytes);
+        }
         state.has_read_body = parser.is_done();
         if (error == http::error::body_limit) {
             cancellation->body_too_large = true;
@@ -313,6 +439,8 @@
     error_code error;
     {
         const socket_timeout timeout(state.core, state.socket, limits.header_timeout);
+        evictable reading(state.core.memory.idle_connections, now_of(state.core),
+                          [&state] { cancel_operations(state); });
         co_await http::async_read_header(*state.socket, state.buffer, parser, capture_error(error));
     }
     request.head = parser.get().base();
@@ -394,32 +522,43 @@
     }
     state.keep_alive = parser.get().keep_alive() && is_accepting(state.core);
     state.has_read_body = parser.is_done();
+    parse_caller_headers(state.core, request);
     if (const auto accepted = read_relay_headers(state, request); !accepted) {
-        parse_caller_headers(state.core, request);
         co_return co_await end_refused_request(state, request, accepted.error());
     }
     std::optional<scoped_count> relayed;
     if (request.relayed) {
         relayed.emplace(state.core.relayed_requests);
     }
+    if (const auto content_length = parser.content_length()) {
+        request.body_length = *content_length;
+    }
+    memory_reservation body_memory(state.core.memory, memory_part::request_bodies);
+    const std::size_t body_limit = buffered_body_limit(state.core);
+    if (!parser.is_done() && !reserve_body(state, request.body_length, body_limit, body_memory)) {
+        co_return co_await end_refused_request(state, request, make_memory_refusal(state.core));
+    }
     if (boost::beast::iequals(request.head[http::field::expect], "100-continue")) {
         http::response<http::empty_body> continue_response(http::status::continue_, request.head.version());
         error_code error;
         co_await http::async_write(*state.socket, continue_response, capture_error(error));
     }
-    if (const auto content_length = parser.content_length()) {
-        request.body_length = *content_length;
-    }
     state.buffer.max_size(std::max(state.buffer.size(), max_unparsed_body_bytes));
-    const error_code body_error = co_await read_body(state, parser, request.body, max_buffered_body_bytes);
-    parse_caller_headers(state.core, request);
-    state.request_id = request.id;
-    if (body_error) {
-        const auto reply =
-            body_error == http::error::body_limit ? body_too_large_reply : make_malformed_reply(body_error);
-        co_return co_await end_unread_request(state, request, request.head.version(), reply, body_error,
-                                              "body_not_read");
+    if (!parser.is_done()) {
+        widen_receive_buffer(state, request.body_length.value_or(body_limit), body_memory);
+        const body_read read = co_await read_buffered_body(state, parser, request, body_limit, body_memory);
+        state.request_id = request.id;
+        if (read.refusal) {
+            co_return co_await end_refused_request(state, request, *read.refusal);
+        }
+        if (read.error) {
+            const auto reply = read.error == http::error::body_limit ? body_too_large_reply
+                                                                     : make_malformed_reply(read.error);
+            co_return co_await end_unread_request(state, request, request.head.version(), reply, read.error,
+                                                  "body_not_read");
+        }
     }
+    state.request_id = request.id;
     request.has_unbuffered_body = !parser.is_done();
     state.has_read_body = parser.is_done();
     if (!request.has_unbuffered_body && has_disconnected(*state.socket)) {
@@ -433,7 +572,19 @@
     if (!plan) {
         co_return co_await end_refused_request(state, request, plan.error());
     }
-    co_return co_await run_request(state, parser, request, *plan);
+    memory_reservation request_memory(state.core.memory, memory_part::responses);
+    const std::size_t request_bytes = state.core.memory.budget ? state.core.memory.budget->request_bytes : 0;
+    if (!reserve_or_evict(request_memory, request_bytes, state.core.memory.slow_readers,
+                          now_of(state.core))) {
+        co_return co_await end_refused_request(state, request, make_memory_refusal(state.core));
+    }
+    state.request_memory = &request_memory;
+    const bool ok = co_await run_request(state, parser, request, *plan);
+    state.request_memory = nullptr;
+    if (request.has_unbuffered_body) {
+        narrow_receive_buffer(state);
+    }
+    co_return ok;
 }
 
 // Ends a request during which an exception was thrown. The reply does not state whether a target has executed
@@ -462,23 +613,45 @@
 // Shuts down the write side and discards the caller's bytes for a while, so that the caller can read the last
 // response.
 asio::awaitable<void> close_gracefully(caller_connection_state& state) {
+    // What all connections discard goes here: nobody reads it, and it is not held while they wait.
+    static std::array<char, read_chunk_bytes> discarded;
+    state.buffer.clear();
+    state.buffer.shrink_to_fit();
     error_code error;
     state.socket->shutdown(tcp::socket::shutdown_send, error);
     if (error) {
         co_return;
     }
     const socket_timeout timeout(state.core, state.socket, lingering_close_timeout);
-    std::array<char, read_chunk_bytes>
-        discarded; // NOLINT(cppcoreguidelines-pro-type-member-init): only skipped
+    evictable closing(state.core.memory.idle_connections, now_of(state.core),
+                      [&state] { cancel_operations(state); });
     while (!error) {
         co_await state.socket->async_read_some(asio::buffer(discarded), capture_error(error));
     }
 }
 
+// Returns whether a further connection of a caller fits into the memory and the descriptors. If too many are
+// open, closes the one that has been idle for longest. Counts and logs both cases.
+bool admit_connection(node_core& core) {
+    const auto& budget = core.memory.budget;
+    if (!budget || core.open_caller_connections < budget->max_caller_connections) {
+        return true;
+    }
+    const bool has_evicted = core.memory.idle_connections.evict_oldest(now_of(core), milliseconds(0));
+    const char* reason = has_evicted ? "idle" : "no_idle_connection";
+    ++core.metrics.connections_refused_by_reason[reason];
+    core.log.write(now_of(core), node_event::connection_closed,
+                   log_fields().add("reason", reason).add("open", core.open_caller_connections));
+    return has_evicted;
+}
+
 // Serves requests until the connection ends.
 asio::awaitable<void> serve_connection(caller_connection_state& state) {
     node_core& core = state.core;
     const scoped_count open_connection(core.open_caller_connections);
+    memory_reservation reserved(core.memory,
+                                state.is_from_vm ? memory_part::peers : memory_part::connections);
+    reserved.resize(core.memory.budget ? core.memory.budget->connection_bytes : 0);
     error_code ignored;
     state.socket->non_blocking(true, ignored);
     bool ok = true;
@@ -507,6 +680,9 @@
 } // namespace
 
 asio::awaitable<void> serve_caller_connection(node_core& core, std::shared_ptr<tcp::socket> socket) {
+    if (!admit_connection(core)) {
+        co_return;
+    }
     caller_connection_state state(core, std::move(socket));
     co_await serve_connection(state);
 }
@@ -518,6 +694,13 @@
 }
 
 asio::awaitable<void> accept_callers(node_core& core, tcp::acceptor& acceptor) {
+    if (core.memory.budget) {
+        // Accepted connections have the listener's buffer size from their first segment on.
+        error_code ignored;
+        acceptor.set_option(asio::socket_base::receive_buffer_size(
+                                static_cast<int>(core.memory.budget->caller_receive_buffer)),
+                            ignored);
+    }
     return accept_connections(core, acceptor, [&core](std::shared_ptr<tcp::socket> socket) {
         return serve_caller_connection(core, std::move(socket));
     });
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -6,6 +6,7 @@
 #include "asio_types.h"
 #include "deadline_list.h"
 #include "fleet_token_bucket.h"
+#include "memory_use.h"
 #include "mirror_lag.h"
 #include "node_log.h"
 #include "node_metrics.h"
@@ -100,7 +101,9 @@
 struct node_core {
     node_core(const clock& time_in, node_settings settings_in, const platform_adapter& platform_in,
               node_log& log_in)
-        : clock_source(time_in), settings(std::move(settings_in)), platform(platform_in), log(log_in) {}
+        : clock_source(time_in), settings(std::move(settings_in)), platform(platform_in), log(log_in) {
+        this->memory.budget = divide_memory(this->settings.memory_bytes, this->settings.max_open_files);
+    }
 
     const clock& clock_source;
     node_settings settings;
@@ -175,6 +178,8 @@
     // Requests from their first byte until their response is written.
     std::size_t requests_in_progress = 0;
     std::size_t open_caller_connections = 0;
+    // What callers make this VM hold.
+    memory_use memory;
 
     // Event loop of the VM's only thread. Declared last, so that it is destroyed first: pending handlers
     // refer to the members above.
--- a/packages/proxy/node_log.h
+++ b/packages/proxy/node_log.h
@@ -33,6 +33,7 @@
     attempt_failed = 633,
     caller_left = 634,
     request_unanswered = 635,
+    connection_closed = 636,
     log_lines_dropped = 690,
     internal_error = 699
 };
--- a/packages/proxy/node_metrics.cpp
+++ b/packages/proxy/node_metrics.cpp
@@ -38,6 +38,9 @@
     append_by_outcome(text, "relayed", metrics.relayed_by_outcome);
     append_by_outcome(text, "relay_attempts", metrics.relay_attempts_by_outcome);
     append_by_outcome(text, "store_calls", metrics.store_calls_by_outcome);
+    for (const auto& [reason, count] : metrics.connections_refused_by_reason) {
+        text += fmt::format("cassiaspan_connections_refused_total{{reason=\"{}\"}} {}\n", reason, count);
+    }
     append_counter(text, "target_connections", metrics.target_connections);
     append_counter(text, "gossip_sent", metrics.gossip_sent);
     append_counter(text, "gossip_received", metrics.gossip_received);
@@ -56,4 +59,20 @@
     return text;
 }
 
+std::string render(const memory_use& memory, std::size_t store_bytes) {
+    std::string text;
+    if (!memory.budget) {
+        return text;
+    }
+    part_bytes used = memory.used;
+    used.at(static_cast<std::size_t>(memory_part::store)) = store_bytes;
+    for (std::size_t i = 0; i < memory_part_count; ++i) {
+        const char* part = to_string(static_cast<memory_part>(i));
+        text += fmt::format("cassiaspan_memory_budget_bytes{{part=\"{}\"}} {}\n", part,
+                            memory.budget->parts.at(i));
+        text += fmt::format("cassiaspan_memory_used_bytes{{part=\"{}\"}} {}\n", part, used.at(i));
+    }
+    return text;
+}
+
 } // namespace cassiaspan
--- a/packages/proxy/node_metrics.h
+++ b/packages/proxy/node_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "clock.h"
+#include "memory_use.h"
 
 #include <array>
 #include <cstdint>
@@ -38,6 +39,8 @@
     std::uint64_t gossip_received = 0;
     // Replies with newer store changes that were pulled from peers.
     std::uint64_t news_pulled = 0;
+    // Callers' connections that were closed for want of memory or descriptors, by reason.
+    std::map<std::string, std::uint64_t> connections_refused_by_reason;
     // Changes to a later epoch of the store.
     std::uint64_t store_restores = 0;
     latency_histogram answer_latency;
@@ -49,4 +52,8 @@
 // Returns the metrics in the Prometheus text format.
 [[nodiscard]] std::string render(const node_metrics& metrics);
 
+// Returns the budget and the used bytes of each part in the same format; empty without a budget.
+// `store_bytes` is the size of the store's items.
+[[nodiscard]] std::string render(const memory_use& memory, std::size_t store_bytes);
+
 } // namespace cassiaspan
--- a/packages/proxy/node_settings.cpp
+++ b/packages/proxy/node_settings.cpp
@@ -11,6 +11,7 @@
     settings.target_heartbeat = loaded.target_heartbeat;
     settings.target_drain_time = loaded.target_drain_time;
     settings.link_mbps = loaded.link_mbps;
+    settings.memory_bytes = loaded.memory_bytes;
     settings.max_open_files = loaded.max_open_files;
     return settings != loaded;
 }
--- a/packages/proxy/node_settings.h
+++ b/packages/proxy/node_settings.h
@@ -51,6 +51,9 @@
     milliseconds max_lookup_ttl{5000};
     // Bandwidth of the VM's link in Mbit/s; 0 if the platform does not provide it.
     std::uint32_t link_mbps = 0;
+    // Memory that the process may use, bytes, with what the kernel has received for it; 0 if the platform
+    // does not limit it.
+    std::size_t memory_bytes = 0;
     // Maximum number of open file descriptors of the process.
     std::size_t max_open_files = 1024;
     // Listen address for requests of other VMs that cannot reach the targets; port 0 disables the listener.
@@ -61,8 +64,8 @@
 };
 
 // Takes over the settings that can change while the process runs: seeds, retry budget, shift limits, stop
-// grace period, lookup TTL, target heartbeat and drain time, link bandwidth and the limit of open files.
-// Returns whether `loaded` has other changes, which need a restart.
+// grace period, lookup TTL, target heartbeat and drain time, link bandwidth and the limits of memory and open
+// files. Returns whether `loaded` has other changes, which need a restart.
 bool apply_reloaded_settings(node_settings& settings, const node_settings& loaded);
 
 } // namespace cassiaspan
--- a/packages/proxy/simple_http_service.cpp
+++ b/packages/proxy/simple_http_service.cpp
@@ -58,10 +58,10 @@
 
 asio::awaitable<void> serve_simple_requests(node_core& core, tcp::acceptor& acceptor,
                                             simple_handler handler) {
-    return accept_connections(core, acceptor,
-                              [&core, handler = std::move(handler)](std::shared_ptr<tcp::socket> socket) {
-                                  return serve_connection(core, std::move(socket), handler);
-                              });
+    connection_handler serve = [&core, handler = std::move(handler)](std::shared_ptr<tcp::socket> socket) {
+        return serve_connection(core, std::move(socket), handler);
+    };
+    return accept_connections(core, acceptor, limit_connections(core, std::move(serve)));
 }
 
 simple_response answer_readiness_check(const node_core& core, const simple_request& request) {
@@ -116,7 +116,11 @@
     if (request_target(request) != "/metrics") {
         return make_response(request, http::status::not_found, "not found\n");
     }
-    return make_response(request, http::status::ok, render(core.metrics));
+    std::size_t store_bytes = 0;
+    for (const auto& [key, item] : core.mirror.items) {
+        store_bytes += key.size() + item.value.size();
+    }
+    return make_response(request, http::status::ok, render(core.metrics) + render(core.memory, store_bytes));
 }
 
 } // namespace cassiaspan
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <malloc.h>
 
 namespace cassiaspan {
 
@@ -38,6 +39,16 @@
     core.loop_delay = std::max(delay, core.loop_delay / 2);
 }
 
+// Makes the allocator return large blocks to the system as soon as they are freed. By default it raises both
+// thresholds as blocks are freed, up to 32 and 64 MB, and keeps what bodies have used.
+void return_freed_memory() {
+#ifdef __GLIBC__
+    constexpr int threshold_bytes = 64 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, threshold_bytes);
+    ::mallopt(M_TRIM_THRESHOLD, threshold_bytes);
+#endif
+}
+
 // The listeners, connections and background tasks of a running VM.
 class running_node {
 public:
@@ -169,6 +180,8 @@
             return;
         }
         const bool needs_restart = apply_reloaded_settings(this->core.settings, *loaded);
+        this->core.memory.budget =
+            divide_memory(this->core.settings.memory_bytes, this->core.settings.max_open_files);
         this->core.log.write(now, node_event::settings_reloaded,
                              log_fields().add("outcome", "applied").add("needs_restart", needs_restart));
     }
@@ -269,6 +282,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     node_core core(clock_source, settings, platform, log);
     core.incarnation = static_cast<std::uint64_t>(unix_milliseconds());
+    if (core.memory.budget) {
+        return_freed_memory();
+    }
     running_node node(core, make_store, load_settings);
     if (auto opened = node.open(); !opened) {
         return opened;
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -5,6 +5,7 @@
 #include "retry_after.h"
 #include "target_connections.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <limits>
@@ -17,6 +18,8 @@
 // one can still be replaced by a retry.
 constexpr std::size_t max_buffered_response_bytes = std::size_t{64} * 1024;
 constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
+// First read of a body: small ones fit, and a target that sends nothing holds only this.
+constexpr std::size_t first_read_bytes = 1024;
 constexpr std::uint32_t max_response_header_bytes = 64 * 1024;
 static_assert(max_response_header_bytes < max_unparsed_response_bytes);
 // Requests up to this size fit into the socket's send buffer: they are written completely before the response
@@ -358,43 +361,56 @@
     // Reads the body into the result. A body larger than max_buffered_response_bytes is passed to the sink
     // instead. Returns false if the body is truncated or the sink fails.
     asio::awaitable<bool> read_body(response_parser& parser, attempt_result& result) {
-        std::array<char, read_chunk_bytes>
-            chunk; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by reads
+        memory_reservation reserved(this->core.memory, memory_part::responses);
+        // The body while it is buffered, then what was read last.
+        std::string& bytes = result.body;
         bool streaming = false;
         while (!parser.is_done()) {
+            const std::size_t old_size = streaming ? 0 : bytes.size();
+            const std::size_t room =
+                streaming ? read_chunk_bytes : std::clamp(old_size, first_read_bytes, read_chunk_bytes);
+            bytes.resize(old_size + room);
             auto& body = parser.get().body();
-            body.data = chunk.data();
-            body.size = chunk.size();
+            body.data = bytes.data() + old_size;
+            body.size = room;
             error_code error;
             co_await http::async_read(this->connection.socket, this->connection.buffer, parser,
                                       capture_error(error));
-            const std::size_t bytes = chunk.size() - body.size;
+            bytes.resize(old_size + room - body.size);
             if (error && error != http::error::need_buffer) {
                 if (streaming) {
                     co_await this->sink.finish(false);
+                    bytes.clear();
                 }
                 co_return false;
             }
             if (streaming) {
-                const bool written = co_await this->sink.write(chunk.data(), bytes);
+                const bool written = co_await this->sink.write(bytes.data(), bytes.size());
                 if (!written) {
+                    result.caller_failed = true;
                     co_await this->sink.finish(false);
+                    bytes.clear();
                     co_return false;
                 }
                 continue;
             }
-            result.body.append(chunk.data(), bytes);
-            if (result.body.size() > max_buffered_response_bytes && !parser.is_done()) {
+            const bool may_buffer =
+                bytes.size() <= max_buffered_response_bytes && reserved.try_resize(bytes.size());
+            if (!may_buffer && !parser.is_done()) {
                 streaming = true;
                 result.streamed = true;
                 const bool started = co_await this->start_streaming(parser, result);
                 if (!started) {
+                    result.caller_failed = true;
                     co_return false;
                 }
+                bytes.shrink_to_fit();
+                reserved.resize(0);
             }
         }
         if (streaming) {
             co_await this->sink.finish(true);
+            bytes.clear();
         }
         co_return true;
     }
@@ -483,6 +499,36 @@
     }
 }
 
+// Returns the bytes of the request's body that the target will hold. A body of unknown length may become as
+// long as the configuration allows.
+std::size_t held_body_bytes(const node_core& core, const outgoing_request& request) {
+    if (!request.remaining_body) {
+        return request.body.size();
+    }
+    std::uint64_t bytes = core.config ? core.config->rules().limits.max_body_bytes : 0;
+    const auto length = request.head[http::field::content_length];
+    std::from_chars(length.data(), length.data() + length.size(), bytes);
+    return static_cast<std::size_t>(bytes);
+}
+
+// Counts the bytes of a body in flight at a target.
+class scoped_body_bytes {
+public:
+    scoped_body_bytes(target_ptr target_in, std::size_t bytes_in)
+        : target(std::move(target_in)), bytes(bytes_in) {
+        this->target->body_bytes_in_flight += this->bytes;
+    }
+    ~scoped_body_bytes() { this->target->body_bytes_in_flight -= this->bytes; }
+    scoped_body_bytes(const scoped_body_bytes&) = delete;
+    scoped_body_bytes& operator=(const scoped_body_bytes&) = delete;
+    scoped_body_bytes(scoped_body_bytes&&) = delete;
+    scoped_body_bytes& operator=(scoped_body_bytes&&) = delete;
+
+private:
+    target_ptr target;
+    std::size_t bytes;
+};
+
 } // namespace
 
 asio::awaitable<attempt_result> run_attempt(node_core& core, target_ptr target,
@@ -490,12 +536,19 @@
                                             const response_sink& sink) {
     attempt_result result;
     const instant started_at = now_of(core);
+    const std::size_t body_bytes = core.memory.budget ? held_body_bytes(core, request) : 0;
+    const bool fits = body_bytes == 0 || fits_target(body_bytes, target->body_bytes_in_flight,
+                                                     count_bucket_replicas(core).total);
+    const scoped_body_bytes in_flight_bytes(target, fits ? body_bytes : 0);
     ++target->in_flight;
     const double load = estimate_load(*target, started_at);
-    std::unique_ptr<target_connection> connection = take_idle_connection(
-        *target, started_at, request.is_idempotent ? max_idle_idempotent : max_idle_not_idempotent,
-        request.id);
-    if (!connection && target->open_connections < connection_limit(core, *target)) {
+    std::unique_ptr<target_connection> connection;
+    if (fits) {
+        connection = take_idle_connection(
+            *target, started_at, request.is_idempotent ? max_idle_idempotent : max_idle_not_idempotent,
+            request.id);
+    }
+    if (fits && !connection && target->open_connections < connection_limit(core, *target)) {
         connection = co_await open_connection(core, target, cancellation);
     }
     const instant sent_at = now_of(core);
@@ -506,6 +559,11 @@
         http_exchange exchange(core, *target, *connection, request, sink);
         cancellation->active_socket = &connection->socket;
         result = co_await exchange.run();
+        // A caller that does not take its response is no sign of the target's health. Without a budget, such
+        // an attempt counts as failed, as before.
+        if (core.memory.budget && result.caller_failed) {
+            cancellation->caller_left = true;
+        }
         cancellation->active_socket = nullptr;
         if (!may_have_run(result.outcome)) {
             record_refusal(*connection, request.id);
@@ -515,6 +573,9 @@
         if (exchange.is_reusable() && may_be_used_again && !request.id.empty()) {
             pool_connection(*target, std::move(connection), now_of(core));
         }
+    } else if (!fits) {
+        result.outcome = attempt_end::withheld;
+        result.detail = "bodies in flight at the target";
     } else {
         result.detail = "no connection to the target";
     }
--- a/packages/proxy/target_attempt.h
+++ b/packages/proxy/target_attempt.h
@@ -69,6 +69,8 @@
     std::optional<std::size_t> relayed_attempts;
     // The peer serves no requests for others at present.
     bool relay_refused = false;
+    // The response was streamed and the caller did not take it.
+    bool caller_failed = false;
     // Duration of the whole attempt.
     milliseconds latency{};
     // The part of `latency` that was spent at the target: without opening a connection and without the
--- a/packages/proxy/target_connections.cpp
+++ b/packages/proxy/target_connections.cpp
@@ -87,7 +87,14 @@
     ++core.metrics.target_connections;
     cancellation->active_socket = &socket;
     error_code error;
-    co_await socket.async_connect(to_tcp_endpoint(target->info.address), capture_error(error));
+    const tcp::endpoint endpoint = to_tcp_endpoint(target->info.address);
+    if (core.memory.budget) {
+        // Must be set before the connection is established. If it cannot be opened, connecting fails too.
+        const auto bytes = static_cast<int>(core.memory.budget->target_receive_buffer);
+        socket.open(endpoint.protocol(), error);
+        socket.set_option(asio::socket_base::receive_buffer_size(bytes), error);
+    }
+    co_await socket.async_connect(endpoint, capture_error(error));
     cancellation->active_socket = nullptr;
     timeout.reset();
     if (error || is_cancelled(*cancellation)) {
--- a/packages/proxy/target_table.h
+++ b/packages/proxy/target_table.h
@@ -71,6 +71,8 @@
     // Requests in flight at the target from this VM, and from the other VMs according to their last reports.
     std::size_t in_flight = 0;
     std::size_t peers_in_flight = 0;
+    // Bytes of the bodies of this VM's requests in flight.
+    std::size_t body_bytes_in_flight = 0;
     std::optional<load_report> last_load_report;
     // Set if the discovery entry was removed: the target is used until this time, in case the entry only
     // expired because the store was unavailable.
