Take a response of an unknown transfer coding as a failed attempt

Cause: the parser ignores a Transfer-Encoding whose last coding is not chunked, and the VM does not pass the field on. The caller got chunk sizes, or encoded bytes, as a complete body.

Change: a response with another Transfer-Encoding than "chunked" alone has failed. A refusal keeps its meaning.

--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -270,6 +270,12 @@
 
 } // namespace
 
+bool has_unknown_transfer_coding(const http::fields& fields) {
+    const std::size_t count = fields.count(http::field::transfer_encoding);
+    return count > 1 ||
+           (count == 1 && !boost::beast::iequals(fields[http::field::transfer_encoding], "chunked"));
+}
+
 bool is_hop_by_hop(const http::fields& fields, boost::beast::string_view name) {
     constexpr std::array<const char*, 8> hop_by_hop_headers{
         "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
--- a/packages/proxy/forwarding.h
+++ b/packages/proxy/forwarding.h
@@ -42,4 +42,8 @@
 // is listed in the Connection header of `fields`. These are not forwarded.
 [[nodiscard]] bool is_hop_by_hop(const http::fields& fields, boost::beast::string_view name);
 
+// Returns whether the message has a Transfer-Encoding other than "chunked" alone. The parser ignores such a
+// field, so that the end of the body is not known.
+[[nodiscard]] bool has_unknown_transfer_coding(const http::fields& fields);
+
 } // namespace cassiaspan
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -1,5 +1,6 @@
 #include "target_attempt.h"
 
+#include "forwarding.h"
 #include "reach_tracking.h"
 #include "relay.h"
 #include "retry_after.h"
@@ -339,6 +340,12 @@
         result.head = parser.get().base();
         result.outcome = classify_response(this->core.platform.headers(), result.head);
         this->record_headers(result);
+        if (has_unknown_transfer_coding(parser.get().base())) {
+            // The connection is not used again. A refusal keeps its meaning, whatever happens to the body.
+            result.outcome = result.outcome == attempt_end::answered ? attempt_end::failed : result.outcome;
+            result.detail = "response has an unknown transfer coding";
+            co_return;
+        }
         if (result.outcome == attempt_end::failed) {
             // The connection is not used again, so the body need not be read.
             result.detail = "response has a content encoding or no seal of the target";
