Reset the connection of a response without length if the VM ends

Cause: a large response to a caller of HTTP/1.0 ends with its connection. When the process was killed, the kernel ended the connection in order, and the part that had been sent looked complete.

Change: from the response's head to its last byte, the socket is set to be reset when it is closed. The option is set on the socket itself, since Asio clears its own one when a socket is destroyed.

Result: "node response without length of a VM that is killed" saw the end of the file before, and sees a reset now; the row of a stopped VM passed before and passes now.

--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -4,6 +4,7 @@
 #include "relay.h"
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 namespace cassiaspan {
 
@@ -96,6 +97,8 @@
         this->message.body().data = nullptr;
         this->message.body().more = true;
         this->state.has_begun_response = true;
+        // Also an end of the process before finish() must reset the connection.
+        this->set_reset_on_close(this->ends_with_connection());
         this->serializer = std::make_unique<http::response_serializer<http::buffer_body>>(this->message);
         const socket_timeout timeout(this->state.core, this->state.socket, write_timeout(this->state));
         co_await http::async_write_header(*this->state.socket, *this->serializer,
@@ -112,20 +115,31 @@
 
     asio::awaitable<void> finish(bool complete) {
         if (!complete) {
-            error_code error;
-            // The missing last chunk, or the missing bytes of its Content-Length, show that the response is
-            // truncated. A response without both would look complete, so the connection is reset.
+            error_code ignored;
             this->state.keep_alive = false;
-            if (!this->message.chunked() && !this->message.has_content_length()) {
-                this->state.socket->set_option(asio::socket_base::linger(true, 0), error);
-            }
-            this->state.socket->close(error);
+            this->state.socket->close(ignored);
             co_return;
         }
         this->message.body().data = nullptr;
         this->message.body().size = 0;
         this->message.body().more = false;
-        co_await write_remaining(this->state, *this->serializer);
+        const bool written = co_await write_remaining(this->state, *this->serializer);
+        if (written && this->ends_with_connection()) {
+            this->set_reset_on_close(false);
+        }
+    }
+
+    // Returns whether the end of the connection is the end of the response. In other responses, the missing
+    // last chunk, or the missing bytes of the Content-Length, show that one is truncated.
+    [[nodiscard]] bool ends_with_connection() const {
+        return !this->message.chunked() && !this->message.has_content_length();
+    }
+
+    // Sets whether the connection is reset when the socket is closed, in whatever way.
+    void set_reset_on_close(bool enabled) const {
+        // Asio's own option would be cleared when the socket is destroyed without having been closed.
+        const linger option{enabled ? 1 : 0, 0};
+        ::setsockopt(this->state.socket->native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
     }
 };
 
