Send the VM's own replies to HEAD without a body

Cause: only responses of targets were written without a body to HEAD. The caller read the body of a refusal as the beginning of the next response. Replies to lookups, readiness checks and metrics had the same fault.

Change: the body is left out, and the Content-Length is kept.

--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -173,6 +173,9 @@
     }
     response.body() = reply.reason + "\n";
     response.prepare_payload();
+    if (state.is_head_request) {
+        response.body().clear();
+    }
     state.keep_alive = state.keep_alive && !current_idle_policy(state.core).close_after_refusal;
     set_connection_fields(state, response);
     co_return co_await write_response(state, response);
--- a/packages/proxy/caller_responses.h
+++ b/packages/proxy/caller_responses.h
@@ -30,6 +30,8 @@
     // Id of the current request as far as it has been read, and whether its response has begun.
     std::string request_id;
     bool has_begun_response = false;
+    // Whether the current request is a HEAD request, whose response has no body.
+    bool is_head_request = false;
     // Whether the body of the current request has been read to its end. Otherwise the connection cannot be
     // used again after the response.
     bool has_read_body = true;
@@ -43,7 +45,8 @@
 // there is none yet.
 [[nodiscard]] caller_limits current_caller_limits(const node_core& core);
 
-// Writes a reply of this VM, with the request id `id` unless that is empty. `version` is the HTTP version, 10
+// Writes a reply of this VM, without its body to a HEAD request, and with the request id `id` unless that is
+// empty. `version` is the HTTP version, 10
 // or 11. To a peer, states besides whether the request has certainly not run, and to how many targets it was
 // sent. May close the connection when descriptors are scarce. Returns false if the connection failed.
 asio::awaitable<bool> write_local_reply(caller_connection_state& state, const local_reply& reply,
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -316,6 +316,7 @@
         co_await http::async_read_header(*state.socket, state.buffer, parser, capture_error(error));
     }
     request.head = parser.get().base();
+    state.is_head_request = request.head.method() == http::verb::head;
     co_return error;
 }
 
--- a/packages/proxy/simple_http_service.cpp
+++ b/packages/proxy/simple_http_service.cpp
@@ -34,6 +34,9 @@
             simple_response response = handler(parser.get());
             response.keep_alive(parser.get().keep_alive());
             response.prepare_payload();
+            if (parser.get().method() == http::verb::head) {
+                response.body().clear();
+            }
             co_await http::async_write(*socket, response, capture_error(error));
         }
         keep_alive = !error && parser.get().keep_alive();
