Refuse requests of an unknown transfer coding

Cause: the parser ignores a Transfer-Encoding whose last coding is not chunked, so that the request seemed to have no body, and its body was run as the next request.

Change: a request with another Transfer-Encoding than "chunked" alone gets 400 (malformed_request), and its connection is closed.

--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -317,6 +317,9 @@
     }
     request.head = parser.get().base();
     state.is_head_request = request.head.method() == http::verb::head;
+    if (!error && has_unknown_transfer_coding(request.head)) {
+        error = http::error::bad_transfer_encoding;
+    }
     co_return error;
 }
 
