--- a/packages/proxy/caller_responses.h
+++ b/packages/proxy/caller_responses.h
@@ -46,9 +46,9 @@
 [[nodiscard]] caller_limits current_caller_limits(const node_core& core);
 
 // Writes a reply of this VM, without its body to a HEAD request, and with the request id `id` unless that is
-// empty. `version` is the HTTP version, 10
-// or 11. To a peer, states besides whether the request has certainly not run, and to how many targets it was
-// sent. May close the connection when descriptors are scarce. Returns false if the connection failed.
+// empty. `version` is the HTTP version, 10 or 11. To a peer, states besides whether the request has certainly
+// not run, and to how many targets it was sent. May close the connection when descriptors are scarce. Returns
+// false if the connection failed.
 asio::awaitable<bool> write_local_reply(caller_connection_state& state, const local_reply& reply,
                                         unsigned version, const std::string& id);
 
