--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -5,6 +5,7 @@
 #include "relay.h"
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 namespace cassiaspan {
 
@@ -189,6 +190,10 @@
         message.body().data = nullptr;
         message.body().more = true;
         this->state.has_begun_response = true;
+        if (this->ends_with_connection()) {
+            // Also an end of the process before finish() must reset the connection.
+            this->set_reset_on_close(true);
+        }
         this->queue->serializer = std::make_unique<http::response_serializer<http::buffer_body>>(message);
         const socket_timeout timeout(this->state.core, this->state.socket, write_timeout(this->state));
         co_await http::async_write_header(*this->state.socket, *this->queue->serializer,
@@ -226,20 +231,31 @@
         }
         auto& message = this->queue->message;
         if (!complete) {
-            error_code error;
-            // The missing last chunk, or the missing bytes of its Content-Length, show that the response is
-            // truncated. A response without both would look complete, so the connection is reset.
+            error_code ignored;
             this->state.keep_alive = false;
-            if (!message.chunked() && !message.has_content_length()) {
-                this->state.socket->set_option(asio::socket_base::linger(true, 0), error);
-            }
-            this->state.socket->close(error);
+            this->state.socket->close(ignored);
             co_return;
         }
         message.body().data = nullptr;
         message.body().size = 0;
         message.body().more = false;
-        co_await write_remaining(this->state, *this->queue->serializer);
+        const bool written = co_await write_remaining(this->state, *this->queue->serializer);
+        if (written && this->ends_with_connection()) {
+            this->set_reset_on_close(false);
+        }
+    }
+
+    // Returns whether the end of the connection is the end of the response. In other responses, the missing
+    // last chunk, or the missing bytes of the Content-Length, show that one is truncated.
+    [[nodiscard]] bool ends_with_connection() const {
+        return !this->queue->message.chunked() && !this->queue->message.has_content_length();
+    }
+
+    // Sets whether the connection is reset when the socket is closed, in whatever way.
+    void set_reset_on_close(bool enabled) const {
+        // Asio's own option would be cleared when the socket is destroyed without having been closed.
+        const linger option{enabled ? 1 : 0, 0};
+        ::setsockopt(this->state.socket->native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
     }
 };
 
@@ -273,6 +289,9 @@
     }
     response.body() = reply.reason + "\n";
     response.prepare_payload();
+    if (state.is_head_request) {
+        response.body().clear();
+    }
     state.keep_alive = state.keep_alive && !current_idle_policy(state.core).close_after_refusal;
     set_connection_fields(state, response);
     co_return co_await write_response(state, response);
