--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -20,6 +20,10 @@
 // wider margin sends more requests to slower targets; a narrower one leaves out targets whose speed reports
 // differ only in age.
 constexpr double near_equal_margin = 0.1;
+// Cost in milliseconds of sending a request to another availability zone, with shared_homes. It decides
+// between targets with free slots, whose other costs differ by few milliseconds, but is small compared to
+// waiting for a slot.
+constexpr double other_zone_cost_ms = 5;
 
 // Returns the sort key of the key's target order: targets that are not degraded first, then by region rank,
 // then by rendezvous hash.
@@ -47,8 +51,10 @@
     placement_estimate estimate;
     estimate.latency = static_cast<double>(candidate.round_trip.count()) + service_time +
                        queued / candidate.slots * warm * candidate.service_time_ratio;
-    estimate.cost = estimate.latency + (is_warm ? 0 : cold - warm);
-    estimate.has_free_slot = candidate.load < candidate.slots;
+    const bool is_in_other_zone = request.shared_homes && candidate.zone != request.own_zone;
+    estimate.cost =
+        estimate.latency + (is_warm ? 0 : cold - warm) + (is_in_other_zone ? other_zone_cost_ms : 0);
+    estimate.has_free_slot = candidate.load < candidate.usable_slots.value_or(candidate.slots);
     return estimate;
 }
 
@@ -73,11 +79,29 @@
 // of a target differently.
 struct key_homes {
     std::size_t primary = 0;
-    // With shared_homes, the second target of the key's order, unless it is in a farther region or more
-    // degraded than the primary.
+    // With shared_homes, the next target of the key's order that is in another availability zone than the
+    // primary and not degraded; the second target of the order if there is none. Never one that is in a
+    // farther region or more degraded than the primary.
     std::optional<std::size_t> secondary;
 };
 
+// Returns the first target of the key's order that is not degraded and in another availability zone of the
+// primary's region; nullopt if there is none.
+std::optional<std::size_t> find_home_in_other_zone(const std::vector<placement_candidate>& candidates,
+                                                   const placement_request& request,
+                                                   const placement_candidate& primary) {
+    std::optional<std::size_t> found;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const placement_candidate& candidate = candidates[i];
+        if (!candidate.degraded && candidate.region_rank == primary.region_rank &&
+            candidate.zone != primary.zone &&
+            (!found || preference_key(candidate, request) < preference_key(candidates[*found], request))) {
+            found = i;
+        }
+    }
+    return found;
+}
+
 // Returns the homes of the request's key. `candidates` must not be empty.
 key_homes find_homes(const std::vector<placement_candidate>& candidates, const placement_request& request) {
     const auto is_preferred = [&](std::size_t left, std::size_t right) {
@@ -92,9 +116,13 @@
         }
     }
     const placement_candidate& primary = candidates[homes.primary];
-    if (homes.secondary &&
-        (!request.shared_homes || candidates[*homes.secondary].region_rank != primary.region_rank ||
-         candidates[*homes.secondary].degraded != primary.degraded)) {
+    if (request.shared_homes) {
+        const std::optional<std::size_t> other = find_home_in_other_zone(candidates, request, primary);
+        homes.secondary = other ? other : homes.secondary;
+    }
+    if (homes.secondary && (!request.shared_homes || request.single_home ||
+                            candidates[*homes.secondary].region_rank != primary.region_rank ||
+                            candidates[*homes.secondary].degraded != primary.degraded)) {
         homes.secondary.reset();
     }
     return homes;
@@ -174,12 +202,16 @@
 std::size_t share_among_equals(const key_warmth& warmth, const std::vector<placement_candidate>& candidates,
                                const placement_request& request, std::size_t best,
                                const placement_estimate& best_estimate) {
+    const auto is_in_own_zone = [&request](const placement_candidate& candidate) {
+        return candidate.zone == request.own_zone;
+    };
     std::vector<std::size_t> equals;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const placement_estimate estimate = estimate_placement(candidates[i], request, true);
         if (holds_object(warmth, candidates, request, i) &&
             candidates[i].degraded == candidates[best].degraded &&
             candidates[i].region_rank == candidates[best].region_rank &&
+            (!request.shared_homes || is_in_own_zone(candidates[i]) == is_in_own_zone(candidates[best])) &&
             estimate.has_free_slot == best_estimate.has_free_slot &&
             estimate.latency <= best_estimate.latency * (1 + near_equal_margin)) {
             equals.push_back(i);
@@ -220,6 +252,7 @@
     const std::optional<std::size_t> spill = choose_spill(candidates, request, candidates[primary]);
     std::optional<std::size_t> best;
     placement_estimate best_estimate;
+    bool is_best_warm = false;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const bool is_warm = is_taken_as_warm(warmth, candidates, request, i);
         const placement_estimate estimate = estimate_placement(candidates[i], request, is_warm);
@@ -227,21 +260,29 @@
             continue;
         }
         const auto rank = [&](std::size_t index, const placement_estimate& each) {
-            return std::make_tuple(candidates[index].degraded, each.cost,
+            const bool is_unusable = candidates[index].usable_slots && !each.has_free_slot;
+            return std::make_tuple(is_unusable, candidates[index].degraded, each.cost,
                                    preference_key(candidates[index], request));
         };
         if (!best || rank(i, estimate) < rank(*best, best_estimate)) {
             best = i;
             best_estimate = estimate;
+            is_best_warm = is_warm;
         }
     }
     // The loop always compares the primary target, so `best` is set.
     if (request.random && holds_object(warmth, candidates, request, *best)) {
         best = share_among_equals(warmth, candidates, request, *best, best_estimate);
         best_estimate = estimate_placement(candidates[*best], request, true);
+        is_best_warm = true;
     }
     const auto latency = milliseconds(static_cast<std::int64_t>(best_estimate.latency));
-    const bool is_acceptable = best_estimate.has_free_slot || latency <= request.max_latency;
+    const bool may_queue = !candidates[*best].usable_slots;
+    const bool is_late_cold_run = request.refuse_late_cold_runs && !is_best_warm &&
+                                  latency > request.max_latency &&
+                                  request.warm_service_time <= request.max_latency;
+    const bool is_acceptable =
+        (best_estimate.has_free_slot && !is_late_cold_run) || (may_queue && latency <= request.max_latency);
     const placement_reason reason = candidates[*best].recently_used  ? placement_reason::known_warm
                                     : best == primary                ? placement_reason::primary
                                     : best == warmth.homes.secondary ? placement_reason::secondary
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -14,7 +14,8 @@
 // can keep a service in a state in which all targets are busy with cold runs, though warm runs would leave
 // most slots free. With `shared_homes`, the second target of the order is therefore assumed to be warm as
 // well, which is true because all VMs assume it, and nothing is spilled elsewhere while the service is short
-// of slots.
+// of slots. If possible, it lies in another availability zone than the first one: each VM then uses the one
+// in its own zone while neither is full, since bytes between zones are expensive.
 //
 // If targets report their current speed, all VMs see the same figures and would send to the same target until
 // the next report. With `random`, the request is therefore placed on one of the targets that are nearly as
@@ -40,6 +41,9 @@
     double load = 0;
     // Requests that the target runs concurrently.
     double slots = 1;
+    // Set if the request may not queue at the target: it is sent there only while fewer of the slots are
+    // occupied than this.
+    std::optional<double> usable_slots;
     // Service time to expect at this target now, relative to the service's average; 1 is average.
     double service_time_ratio = 1;
     // The part of service_time_ratio that is due to the current speed of the target's machine
@@ -55,6 +59,8 @@
     bool degraded = false;
     // The target joined recently: other targets are still warm for the keys that it is now primary for.
     bool recently_joined = false;
+    // Hash of the name of the target's availability zone.
+    std::uint64_t zone = 0;
     auto operator<=>(const placement_candidate&) const = default;
 };
 
@@ -75,6 +81,14 @@
     // Assumes the key's first two targets warm, and does not spill while the service is short of slots. For
     // VMs that see too few requests of each key to know which targets are warm.
     bool shared_homes = false;
+    // With shared_homes, assumes only the first target warm: the region that serves the key has so few
+    // targets that they cannot keep two copies of all keys.
+    bool single_home = false;
+    // Hash of the name of the choosing VM's availability zone. Used only with `shared_homes`.
+    std::uint64_t own_zone = 0;
+    // Accepts no run on a cold target that takes longer than max_latency, where a run on a warm one would
+    // not: its slot time is missing for several runs in time. For services that are short of slots.
+    bool refuse_late_cold_runs = false;
     // Random number. If set, targets that are nearly as good as the best one share the requests, and with
     // shared_homes both homes count as warm even if a target is known to be. Set if targets report their
     // speed.
@@ -86,7 +100,7 @@
 enum class placement_reason {
     // It is the first in the key's order, or has the lowest cost for a request without a key.
     primary,
-    // It is the second in the key's order, with `shared_homes`.
+    // It is the key's second home, with `shared_homes`.
     secondary,
     // It has recently served the key.
     known_warm,
@@ -107,9 +121,10 @@
     auto operator<=>(const placement&) const = default;
 };
 
-// Chooses the candidate with the lowest cost, or with `random` one that is nearly as good; candidates that
-// are not degraded come first. Time and memory are linear in the number of candidates. Returns no index if
-// there are no candidates, or if the best one has no free slot and its expected latency exceeds max_latency.
+// Chooses the candidate with the lowest cost, or with `random` one that is nearly as good; candidates without
+// a usable slot come last if the request may not queue, and then degraded ones. Time and memory are linear in
+// the number of candidates. Returns no index if there are no candidates, or if the best one has no free slot
+// and its expected latency exceeds max_latency, or the request may not queue there.
 [[nodiscard]] placement place_request(const std::vector<placement_candidate>& candidates,
                                       const placement_request& request);
 
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -6,6 +6,8 @@
 #include "asio_types.h"
 #include "deadline_list.h"
 #include "fleet_token_bucket.h"
+#include "lookup_tiers.h"
+#include "memory_use.h"
 #include "mirror_lag.h"
 #include "node_log.h"
 #include "node_metrics.h"
@@ -16,7 +18,9 @@
 #include "recent_uses.h"
 #include "region_shares.h"
 #include "request_cancellation.h"
+#include "request_cost.h"
 #include "retry_budget.h"
+#include "service_classes.h"
 #include "steering_config.h"
 #include "store_mirror.h"
 #include "store_reader.h"
@@ -32,6 +36,8 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace cassiaspan {
 
@@ -65,10 +71,16 @@
     std::map<std::string, demand_meter> demand_by_region;
     // When this VM read its first request for the service; empty before that.
     std::optional<instant> first_request_time;
+    // Requests in flight at the usable targets of each region; moving averages.
+    std::map<std::string, double> occupied_slots;
+    // Regions with few of the service's targets; see find_small_regions().
+    std::set<std::string> small_regions;
     // Fraction of the affinity keys of this region's callers that each region serves.
     region_shares shares;
     // Whether this VM reaches the service's targets.
     target_reach reach;
+    // The classes of its requests, for admission control.
+    service_classes classes;
 };
 
 // Expected service times of one request, without queueing, at a warm and at a cold target.
@@ -80,6 +92,17 @@
 // Returns the measured service times, or defaults for those that were not measured yet. `cold` is never less
 // than `warm`.
 [[nodiscard]] service_times expected_service_times(const service_stats& stats);
+// The same for given moving averages: over all requests, over warm and over cold ones.
+[[nodiscard]] service_times expected_service_times(milliseconds service_time, milliseconds warm_time,
+                                                   milliseconds cold_time);
+
+// The VMs that lookups for a region list.
+struct lookup_list {
+    lookup_choice choice;
+    instant chosen_at;
+    // Name and caller address of the listed VMs, at most as many as a reply may have.
+    std::vector<std::pair<std::string, socket_address>> vms;
+};
 
 // How long a crash report is included in gossip. This covers several datagrams, because some are lost.
 constexpr milliseconds crash_report_lifetime{3000};
@@ -100,7 +123,9 @@
 struct node_core {
     node_core(const clock& time_in, node_settings settings_in, const platform_adapter& platform_in,
               node_log& log_in)
-        : clock_source(time_in), settings(std::move(settings_in)), platform(platform_in), log(log_in) {}
+        : clock_source(time_in), settings(std::move(settings_in)), platform(platform_in), log(log_in) {
+        this->memory.budget = divide_memory(this->settings.memory_bytes, this->settings.max_open_files);
+    }
 
     const clock& clock_source;
     node_settings settings;
@@ -138,6 +163,8 @@
 
     // Null until the first configuration is read.
     std::shared_ptr<const steering_config> config;
+    // The configuration from which the classes of the services were taken last; see class_admission.h.
+    std::shared_ptr<const steering_config> classes_config;
     target_table targets;
     std::set<std::string> evacuated_zones;
     peer_table peers;
@@ -169,12 +196,21 @@
     deadline_list deadlines;
     // Recent delay of the event loop: a request waits for about this time before it is read.
     milliseconds loop_delay{};
+    // Up to when this VM counts as busy, because its event loop was delayed; see is_busy().
+    instant busy_until;
+    // Bytes of request bodies read from callers and of responses written to them, since the start.
+    std::uint64_t caller_bytes = 0;
+    request_cost_meter cost_meter;
+    // The VMs that lookups list, by region.
+    std::map<std::string, lookup_list> lookup_lists;
 
     // Cancellations of the requests that are being forwarded.
     std::set<request_cancellation*> forwarded_requests;
     // Requests from their first byte until their response is written.
     std::size_t requests_in_progress = 0;
     std::size_t open_caller_connections = 0;
+    // What callers make this VM hold.
+    memory_use memory;
 
     // Event loop of the VM's only thread. Declared last, so that it is destroyed first: pending handlers
     // refer to the members above.
@@ -234,6 +270,11 @@
     return core.mirror_is_verified ? core.mirror.position : store_position{};
 }
 
+// Returns whether the event loop was delayed by over 50 ms within the last second.
+[[nodiscard]] inline bool is_busy(const node_core& core) {
+    return now_of(core) < core.busy_until;
+}
+
 // Returns whether the VM advertises itself as ready for new requests.
 [[nodiscard]] inline bool is_accepting(const node_core& core) {
     return core.phase == node_phase::serving;
--- a/packages/proxy/node_log.h
+++ b/packages/proxy/node_log.h
@@ -24,6 +24,8 @@
     evacuation_changed = 613,
     peer_changed = 614,
     reach_changed = 615,
+    lookup_list_changed = 618,
+    shortage_changed = 616,
     store_unavailable = 620,
     store_recovered = 621,
     store_restored = 622,
@@ -33,6 +35,7 @@
     attempt_failed = 633,
     caller_left = 634,
     request_unanswered = 635,
+    connection_closed = 636,
     log_lines_dropped = 690,
     internal_error = 699
 };
--- a/packages/proxy/node_metrics.cpp
+++ b/packages/proxy/node_metrics.cpp
@@ -38,11 +38,24 @@
     append_by_outcome(text, "relayed", metrics.relayed_by_outcome);
     append_by_outcome(text, "relay_attempts", metrics.relay_attempts_by_outcome);
     append_by_outcome(text, "store_calls", metrics.store_calls_by_outcome);
+    for (const auto& [label, count] : metrics.admissions) {
+        text +=
+            fmt::format("cassiaspan_admission_total{{service=\"{}\",priority=\"{}\",decision=\"{}\"}} {}\n",
+                        label.service, label.priority, label.decision, count);
+    }
+    for (const auto& [reason, count] : metrics.connections_refused_by_reason) {
+        text += fmt::format("cassiaspan_connections_refused_total{{reason=\"{}\"}} {}\n", reason, count);
+    }
     append_counter(text, "target_connections", metrics.target_connections);
     append_counter(text, "gossip_sent", metrics.gossip_sent);
     append_counter(text, "gossip_received", metrics.gossip_received);
     append_counter(text, "news_pulled", metrics.news_pulled);
     append_counter(text, "store_restores", metrics.store_restores);
+    text += fmt::format("cassiaspan_config_entries_left_out {}\n", metrics.config_entries_left_out);
+    for (const auto& [region, count] : metrics.lookup_listed_vms) {
+        text += fmt::format("cassiaspan_lookup_listed_vms{{region=\"{}\"}} {}\n", region, count);
+    }
+    text += fmt::format("cassiaspan_busy {}\n", metrics.busy ? 1 : 0);
     std::uint64_t cumulative_count = 0;
     for (std::size_t i = 0; i < latency_bounds_ms.size(); ++i) {
         cumulative_count += metrics.answer_latency.counts.at(i);
@@ -68,4 +81,20 @@
            fmt::format(line, "1", percents.back());
 }
 
+std::string render(const memory_use& memory, std::size_t store_bytes) {
+    std::string text;
+    if (!memory.budget) {
+        return text;
+    }
+    part_bytes used = memory.used;
+    used.at(static_cast<std::size_t>(memory_part::store)) = store_bytes;
+    for (std::size_t i = 0; i < memory_part_count; ++i) {
+        const char* part = to_string(static_cast<memory_part>(i));
+        text += fmt::format("cassiaspan_memory_budget_bytes{{part=\"{}\"}} {}\n", part,
+                            memory.budget->parts.at(i));
+        text += fmt::format("cassiaspan_memory_used_bytes{{part=\"{}\"}} {}\n", part, used.at(i));
+    }
+    return text;
+}
+
 } // namespace cassiaspan
--- a/packages/proxy/node_metrics.h
+++ b/packages/proxy/node_metrics.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "clock.h"
+#include "memory_use.h"
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -22,7 +24,16 @@
     std::int64_t sum_ms = 0;
 };
 
-// Counts since the start of the process.
+// A decision about requests of one class of a service.
+struct admission_label {
+    std::string service;
+    // The class's pair of priorities, workspace and route, such as "0.2".
+    std::string priority;
+    std::string decision;
+    auto operator<=>(const admission_label&) const = default;
+};
+
+// Counts since the start of the process, and gauges.
 struct node_metrics {
     // By outcome: the status class of a target's response, or the reason for a refusal.
     std::map<std::string, std::uint64_t> requests_by_outcome;
@@ -34,13 +45,23 @@
     std::map<std::string, std::uint64_t> relayed_by_outcome;
     std::map<std::string, std::uint64_t> relay_attempts_by_outcome;
     std::map<std::string, std::uint64_t> store_calls_by_outcome;
+    // Requests of services with classes, by what admission control decided.
+    std::map<admission_label, std::uint64_t> admissions;
     std::uint64_t target_connections = 0;
     std::uint64_t gossip_sent = 0;
     std::uint64_t gossip_received = 0;
     // Replies with newer store changes that were pulled from peers.
     std::uint64_t news_pulled = 0;
+    // Callers' connections that were closed for want of memory or descriptors, by reason.
+    std::map<std::string, std::uint64_t> connections_refused_by_reason;
     // Changes to a later epoch of the store.
     std::uint64_t store_restores = 0;
+    // Gauge: entries left out of the configuration in force, and its routes of unknown kinds.
+    std::uint64_t config_entries_left_out = 0;
+    // VMs that this VM's last lookup for a region listed, by region.
+    std::map<std::string, std::size_t> lookup_listed_vms;
+    // The event loop was delayed by over 50 ms within the last second.
+    bool busy = false;
     latency_histogram answer_latency;
 };
 
@@ -53,5 +74,10 @@
 // Returns the gauge of the figures that targets report about their current speed, in percent: their number,
 // minimum, median and maximum. Returns an empty text if there are none.
 [[nodiscard]] std::string render_target_slowdowns(std::vector<std::uint32_t> percents);
+}
+
+// Returns the budget and the used bytes of each part in the same format; empty without a budget.
+// `store_bytes` is the size of the store's items.
+[[nodiscard]] std::string render(const memory_use& memory, std::size_t store_bytes);
 
 } // namespace cassiaspan
--- a/packages/proxy/peer_table.h
+++ b/packages/proxy/peer_table.h
@@ -26,11 +26,20 @@
 // passed.
 constexpr milliseconds peer_retention{10'000};
 
+// Number of requests of one class of a service. `service` is the lower 32 bits of the hash of the name,
+// `priority` the class's packed pair (policy/admission.h).
+struct class_count {
+    std::uint32_t service = 0;
+    std::uint32_t priority = 0;
+    std::uint64_t asked = 0;
+};
+
 // The counters of a peer as last forwarded by this VM as a hub. Keys are the lower 32 bits of the hash of the
 // workspace or service name.
 struct forwarded_counts {
     std::unordered_map<std::uint32_t, std::uint64_t> workspace_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> service_demands;
+    std::vector<class_count> class_demands;
 };
 
 // Requests in flight by target. Keys are the lower 32 bits of the hash of the target's id.
@@ -50,6 +59,8 @@
     incarnation_history incarnations;
     // Bandwidth of the VM's link in Mbit/s; 0 if unknown.
     std::uint32_t link_mbps = 0;
+    // CPU share of the VM in thousandths of a core; 0 if unknown.
+    std::uint32_t cpu_millicores = 0;
     // Must be sent with requests to `relay_address`.
     std::uint64_t relay_key = 0;
     // Whether the VM announces the position of its mirror only while the mirror is verified; see node_core.
@@ -65,6 +76,8 @@
     std::uint64_t sequence = 0;
     // Whether the VM is ready for new requests.
     bool accepting = false;
+    // Whether the VM's event loop was delayed within the last second.
+    bool busy = false;
     // Position of the VM's store mirror.
     store_position mirror_position;
     // Whether the VM reads the store.
@@ -78,6 +91,7 @@
     target_use_counts target_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> workspace_uses;
     std::unordered_map<std::uint32_t, std::uint64_t> service_demands;
+    std::vector<class_count> class_demands;
     // Whether a report has had all counters, so that those that are still unknown were zero then.
     bool has_all_counters = false;
     // Sums that the peer sent as a first hub, and when the last ones arrived: requests in flight of its zone,
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -3,6 +3,7 @@
 #include "accept_loop.h"
 #include "background_task.h"
 #include "caller_session.h"
+#include "class_admission.h"
 #include "gossip.h"
 #include "reach_tracking.h"
 #include "region_balance.h"
@@ -17,6 +18,8 @@
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <malloc.h>
+#include <sys/resource.h>
 
 namespace cassiaspan {
 
@@ -30,12 +33,48 @@
 // Lateness up to this is normal timer inaccuracy and is not counted as loop delay.
 constexpr milliseconds timer_tolerance{5};
 
+// A loop delay over the first makes the VM busy for the second: requests then wait for a good part of the
+// shortest latency objectives, and the flag outlasts several reports.
+constexpr milliseconds busy_loop_delay{50};
+constexpr milliseconds busy_period{1000};
+
 // Updates the loop delay from the lateness of a timer.
 void update_loop_delay(node_core& core, milliseconds lateness) {
     const milliseconds delay = lateness > timer_tolerance ? lateness : milliseconds(0);
     // Increases immediately and halves at each update, because the delayed requests are read over several
     // loop iterations.
     core.loop_delay = std::max(delay, core.loop_delay / 2);
+    if (core.loop_delay > busy_loop_delay) {
+        core.busy_until = now_of(core) + busy_period;
+    }
+}
+
+// Measures what requests cost this VM.
+void sample_own_usage(node_core& core, instant now) {
+    rusage usage{};
+    if (::getrusage(RUSAGE_SELF, &usage) != 0) {
+        return;
+    }
+    const auto to_duration = [](const timeval& time) {
+        return seconds(time.tv_sec) + microseconds(time.tv_usec);
+    };
+    usage_totals totals;
+    totals.cpu_time = to_duration(usage.ru_utime) + to_duration(usage.ru_stime);
+    for (const auto& [name, stats] : core.services) {
+        totals.requests += stats.request_count;
+    }
+    totals.bytes = core.caller_bytes;
+    sample_usage(core.cost_meter, totals, core.requests_in_progress == 0, now);
+}
+
+// Makes the allocator return large blocks to the system as soon as they are freed. By default it raises both
+// thresholds as blocks are freed, up to 32 and 64 MB, and keeps what bodies have used.
+void return_freed_memory() {
+#ifdef __GLIBC__
+    constexpr int threshold_bytes = 64 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, threshold_bytes);
+    ::mallopt(M_TRIM_THRESHOLD, threshold_bytes);
+#endif
 }
 
 // The listeners, connections and background tasks of a running VM.
@@ -144,6 +183,9 @@
             remove_stale_relays(this->core);
             clear_silent_peer_loads(this->core);
             update_region_shares(this->core, housekeeping_interval);
+            sample_own_usage(this->core, now);
+            this->core.metrics.busy = is_busy(this->core);
+            update_class_admission(this->core, housekeeping_interval);
         }
     }
 
@@ -169,6 +211,8 @@
             return;
         }
         const bool needs_restart = apply_reloaded_settings(this->core.settings, *loaded);
+        this->core.memory.budget =
+            divide_memory(this->core.settings.memory_bytes, this->core.settings.max_open_files);
         this->core.log.write(now, node_event::settings_reloaded,
                              log_fields().add("outcome", "applied").add("needs_restart", needs_restart));
     }
@@ -269,6 +313,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     node_core core(clock_source, settings, platform, log);
     core.incarnation = static_cast<std::uint64_t>(unix_milliseconds());
+    if (core.memory.budget) {
+        return_freed_memory();
+    }
     running_node node(core, make_store, load_settings);
     if (auto opened = node.open(); !opened) {
         return opened;
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -1,13 +1,18 @@
 #include "target_attempt.h"
 
+#include "forwarding.h"
 #include "reach_tracking.h"
 #include "relay.h"
 #include "retry_after.h"
 #include "target_connections.h"
 
+#include <algorithm>
 #include <array>
+#include <boost/asio/post.hpp>
 #include <charconv>
 #include <limits>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace cassiaspan {
 
@@ -17,6 +22,8 @@
 // one can still be replaced by a retry.
 constexpr std::size_t max_buffered_response_bytes = std::size_t{64} * 1024;
 constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
+// First read of a body: small ones fit, and a target that sends nothing holds only this.
+constexpr std::size_t first_read_bytes = 1024;
 constexpr std::uint32_t max_response_header_bytes = 64 * 1024;
 static_assert(max_response_header_bytes < max_unparsed_response_bytes);
 // Requests up to this size fit into the socket's send buffer: they are written completely before the response
@@ -95,11 +102,35 @@
     writer_done->cancel();
 }
 
+// Returns whether the target has ended its direction of the connection, and the connection has not been reset
+// since. Once a reset has been reported to a write, a read sees an orderly end of the stream, so that only
+// the state of the connection tells the two apart. Where the system does not report the state, the result of
+// the write alone decides.
+bool has_ended_in_order(tcp::socket& socket) {
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+        info.tcpi_state == 0) {
+        return true;
+    }
+    return info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 bool response_has_no_body(const response_parser& parser, http::verb method) {
     const unsigned status = parser.get().result_int();
     return method == http::verb::head || status == 204 || status == 304 || status / 100 == 1;
 }
 
+bool is_interim(unsigned status) {
+    return status / 100 == 1 && status != 101;
+}
+
+// Returns whether the status is that of a response to a request of this VM, which never asks for another
+// protocol.
+bool is_valid_status(unsigned status) {
+    return is_interim(status) || (status >= 200 && status <= 599);
+}
+
 // Returns the timeout parameter of a Keep-Alive header, or 0 if it has none.
 milliseconds parse_keep_alive_timeout(boost::beast::string_view text) {
     constexpr std::string_view parameter = "timeout=";
@@ -199,7 +230,7 @@
         : core(core_in), target(target_in), connection(connection_in), request(request_in), sink(sink_in) {}
 
     asio::awaitable<attempt_result> run() {
-        auto writer = std::make_shared<request_writer>(this->request);
+        const auto writer = this->writer;
         auto writer_done = std::make_shared<asio::steady_timer>(this->core.context);
         writer_done->expires_at(asio::steady_timer::time_point::max());
         const bool fits_socket_buffer =
@@ -268,11 +299,20 @@
                 }
                 co_return;
             }
+            const unsigned status = parser.get().result_int();
             if (!this->target.is_peer) {
                 record_target_contact(this->core, this->target);
+            }
+            if (!is_valid_status(status)) {
+                // What follows on the connection cannot be told apart either.
+                result.outcome = attempt_end::failed;
+                result.detail = "response has the invalid status " + std::to_string(status);
+                co_return;
+            }
+            if (!this->target.is_peer) {
                 record_announcements(this->core, this->target, parser.get().base());
             }
-            if (parser.get().result_int() / 100 == 1) {
+            if (is_interim(status)) {
                 continue;
             }
             if (echoes_request_id(this->core.platform.headers(), parser.get().base(), this->request.id)) {
@@ -315,6 +355,12 @@
         result.head = parser.get().base();
         result.outcome = classify_response(this->core.platform.headers(), result.head);
         this->record_headers(result);
+        if (has_unknown_transfer_coding(parser.get().base())) {
+            // The connection is not used again. A refusal keeps its meaning, whatever happens to the body.
+            result.outcome = result.outcome == attempt_end::answered ? attempt_end::failed : result.outcome;
+            result.detail = "response has an unknown transfer coding";
+            co_return;
+        }
         if (result.outcome == attempt_end::failed) {
             // The connection is not used again, so the body need not be read.
             result.detail = "response has a content encoding or no seal of the target";
@@ -366,45 +412,75 @@
     // Reads the body into the result. A body larger than max_buffered_response_bytes is passed to the sink
     // instead. Returns false if the body is truncated or the sink fails.
     asio::awaitable<bool> read_body(response_parser& parser, attempt_result& result) {
-        std::array<char, read_chunk_bytes>
-            chunk; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by reads
+        memory_reservation reserved(this->core.memory, memory_part::responses);
+        // The body while it is buffered, then what was read last.
+        std::string& bytes = result.body;
         bool streaming = false;
         while (!parser.is_done()) {
+            const std::size_t old_size = streaming ? 0 : bytes.size();
+            const std::size_t room =
+                streaming ? read_chunk_bytes : std::clamp(old_size, first_read_bytes, read_chunk_bytes);
+            bytes.resize(old_size + room);
             auto& body = parser.get().body();
-            body.data = chunk.data();
-            body.size = chunk.size();
+            body.data = bytes.data() + old_size;
+            body.size = room;
             error_code error;
             co_await http::async_read(this->connection.socket, this->connection.buffer, parser,
                                       capture_error(error));
-            const std::size_t bytes = chunk.size() - body.size;
+            bytes.resize(old_size + room - body.size);
             if (error && error != http::error::need_buffer) {
                 if (streaming) {
                     co_await this->sink.finish(false);
+                    bytes.clear();
                 }
                 co_return false;
             }
             if (streaming) {
-                const bool written = co_await this->sink.write(chunk.data(), bytes);
+                const bool written = co_await this->sink.write(bytes.data(), bytes.size());
                 if (!written) {
+                    result.caller_failed = true;
                     co_await this->sink.finish(false);
+                    bytes.clear();
                     co_return false;
                 }
                 continue;
             }
-            result.body.append(chunk.data(), bytes);
-            if (result.body.size() > max_buffered_response_bytes && !parser.is_done()) {
+            const bool may_buffer =
+                bytes.size() <= max_buffered_response_bytes && reserved.try_resize(bytes.size());
+            if (!may_buffer && !parser.is_done()) {
                 streaming = true;
                 result.streamed = true;
                 const bool started = co_await this->start_streaming(parser, result);
                 if (!started) {
+                    result.caller_failed = true;
                     co_return false;
                 }
+                bytes.shrink_to_fit();
+                reserved.resize(0);
             }
         }
+        const bool complete = co_await this->is_body_complete(parser);
         if (streaming) {
-            co_await this->sink.finish(true);
+            co_await this->sink.finish(complete);
+            bytes.clear();
+        }
+        co_return complete;
+    }
+
+    // Returns whether a body that has been read to the end of the message is complete. Where the message ends
+    // with the connection, the connection must have ended in order in both directions: a target that has not
+    // accepted the whole request did not end it so.
+    asio::awaitable<bool> is_body_complete(const response_parser& parser) {
+        if (!parser.need_eof()) {
+            co_return true;
+        }
+        // On a busy VM, the end of the write may have been reported beside that of the response. Its handlers
+        // are queued then: one for the write, and one for each layer above it.
+        constexpr int max_write_handlers = 4;
+        for (int i = 0; i < max_write_handlers && !this->writer->done; ++i) {
+            co_await asio::post(this->core.context, asio::use_awaitable);
         }
-        co_return true;
+        co_return this->writer->done && !this->writer->failed && has_ended_in_order(this->connection.socket);
     }
 
     // Passes the header and the part of the body that has been read to the sink. Returns false if the sink
@@ -430,6 +506,7 @@
     target_connection& connection;
     const outgoing_request& request;
     const response_sink& sink;
+    std::shared_ptr<request_writer> writer = std::make_shared<request_writer>(this->request);
     bool reusable = false;
 };
 
@@ -495,6 +572,36 @@
     }
 }
 
+// Returns the bytes of the request's body that the target will hold. A body of unknown length may become as
+// long as the configuration allows.
+std::size_t held_body_bytes(const node_core& core, const outgoing_request& request) {
+    if (!request.remaining_body) {
+        return request.body.size();
+    }
+    std::uint64_t bytes = core.config ? core.config->rules().limits.max_body_bytes : 0;
+    const auto length = request.head[http::field::content_length];
+    std::from_chars(length.data(), length.data() + length.size(), bytes);
+    return static_cast<std::size_t>(bytes);
+}
+
+// Counts the bytes of a body in flight at a target.
+class scoped_body_bytes {
+public:
+    scoped_body_bytes(target_ptr target_in, std::size_t bytes_in)
+        : target(std::move(target_in)), bytes(bytes_in) {
+        this->target->body_bytes_in_flight += this->bytes;
+    }
+    ~scoped_body_bytes() { this->target->body_bytes_in_flight -= this->bytes; }
+    scoped_body_bytes(const scoped_body_bytes&) = delete;
+    scoped_body_bytes& operator=(const scoped_body_bytes&) = delete;
+    scoped_body_bytes(scoped_body_bytes&&) = delete;
+    scoped_body_bytes& operator=(scoped_body_bytes&&) = delete;
+
+private:
+    target_ptr target;
+    std::size_t bytes;
+};
+
 } // namespace
 
 asio::awaitable<attempt_result> run_attempt(node_core& core, target_ptr target,
@@ -502,12 +609,19 @@
                                             const response_sink& sink) {
     attempt_result result;
     const instant started_at = now_of(core);
+    const std::size_t body_bytes = core.memory.budget ? held_body_bytes(core, request) : 0;
+    const bool fits = body_bytes == 0 || fits_target(body_bytes, target->body_bytes_in_flight,
+                                                     count_bucket_replicas(core).total);
+    const scoped_body_bytes in_flight_bytes(target, fits ? body_bytes : 0);
     ++target->in_flight;
     const double load = estimate_load(*target, started_at);
-    std::unique_ptr<target_connection> connection = take_idle_connection(
-        *target, started_at, request.is_idempotent ? max_idle_idempotent : max_idle_not_idempotent,
-        request.id);
-    if (!connection && target->open_connections < connection_limit(core, *target)) {
+    std::unique_ptr<target_connection> connection;
+    if (fits) {
+        connection = take_idle_connection(
+            *target, started_at, request.is_idempotent ? max_idle_idempotent : max_idle_not_idempotent,
+            request.id);
+    }
+    if (fits && !connection && target->open_connections < connection_limit(core, *target)) {
         connection = co_await open_connection(core, target, cancellation);
     }
     const instant sent_at = now_of(core);
@@ -523,6 +637,11 @@
         http_exchange exchange(core, *target, *connection, request, sink);
         cancellation->active_socket = &connection->socket;
         result = co_await exchange.run();
+        // A caller that does not take its response is no sign of the target's health. Without a budget, such
+        // an attempt counts as failed, as before.
+        if (core.memory.budget && result.caller_failed) {
+            cancellation->caller_left = true;
+        }
         cancellation->active_socket = nullptr;
         if (!may_have_run(result.outcome)) {
             record_refusal(*connection, request.id);
@@ -532,6 +651,9 @@
         if (exchange.is_reusable() && may_be_used_again && !request.id.empty()) {
             pool_connection(*target, std::move(connection), now_of(core));
         }
+    } else if (!fits) {
+        result.outcome = attempt_end::withheld;
+        result.detail = "bodies in flight at the target";
     } else {
         result.detail = "no connection to the target";
     }
--- a/packages/proxy/target_table.h
+++ b/packages/proxy/target_table.h
@@ -72,6 +72,8 @@
     // Requests in flight at the target from this VM, and from the other VMs according to their last reports.
     std::size_t in_flight = 0;
     std::size_t peers_in_flight = 0;
+    // Bytes of the bodies of this VM's requests in flight.
+    std::size_t body_bytes_in_flight = 0;
     std::optional<load_report> last_load_report;
     // The speed that the target last reported; empty if it reports none.
     std::optional<speed_report> last_speed_report;
--- a/packages/proxy/vm_report.cpp
+++ b/packages/proxy/vm_report.cpp
@@ -1,5 +1,6 @@
 #include "vm_report.h"
 
+#include "class_admission.h"
 #include "fleet_hubs.h"
 
 #include <algorithm>
@@ -122,6 +123,7 @@
         const std::uint64_t new_requests =
             has_baseline && demand.asked() > known_count ? demand.asked() - known_count : 0;
         known_count = std::max(known_count, demand.asked());
+        apply_class_demands(core, peer, demand);
         for (auto& [name, stats] : core.services) {
             if (new_requests > 0 && stats.name_hash == demand.service()) {
                 record_demand(stats.demand_by_region[peer.region], static_cast<double>(new_requests),
@@ -203,6 +205,7 @@
     record.set_gossip_address(format_address(core.settings.gossip_address));
     record.set_incarnation(core.incarnation);
     record.set_link_mbps(core.settings.link_mbps);
+    record.set_cpu_millicores(core.settings.cpu_millicores);
     record.set_announces_verified_copy(true);
     if (core.settings.relay_address.port != 0) {
         record.set_relay_address(format_address(core.settings.relay_address));
@@ -221,6 +224,7 @@
     record.set_gossip_address(format_address(peer.gossip_address));
     record.set_incarnation(peer.incarnations.current);
     record.set_link_mbps(peer.link_mbps);
+    record.set_cpu_millicores(peer.cpu_millicores);
     record.set_announces_verified_copy(peer.announces_verified_mirror);
     if (peer.relay_address.port != 0) {
         record.set_relay_address(format_address(peer.relay_address));
@@ -240,6 +244,7 @@
     }
     gossip.set_sequence(sequence);
     gossip.set_accepting(is_accepting(core));
+    gossip.set_busy(is_busy(core));
     const store_position announced = announced_mirror_position(core);
     gossip.set_store_epoch(announced.epoch);
     gossip.set_store_revision(announced.revision);
@@ -254,6 +259,7 @@
         schema::ServiceDemand& entry = *gossip.add_service_demands();
         entry.set_service(stats.name_hash);
         entry.set_asked(stats.request_count);
+        add_class_demands(stats.classes, entry);
     }
     gossip.set_has_all_counters(true);
     gossip.set_targets_unreachable(core.reach.is_lost);
@@ -307,6 +313,7 @@
     forwarded.mutable_sender()->set_incarnation(peer.incarnations.current);
     forwarded.set_sequence(peer.sequence);
     forwarded.set_accepting(peer.accepting);
+    forwarded.set_busy(peer.busy);
     forwarded.set_store_epoch(peer.mirror_position.epoch);
     forwarded.set_store_revision(peer.mirror_position.revision);
     forwarded.set_store_access(encode_access(peer.access));
@@ -328,11 +335,13 @@
     }
     for (const auto& [service, asked] : peer.service_demands) {
         std::uint64_t& forwarded_count = last_forwarded.service_demands[service];
-        if (send_all_counts || forwarded_count != asked) {
-            schema::ServiceDemand& demand = *forwarded.add_service_demands();
+        schema::ServiceDemand demand;
+        forward_class_demands(peer, service, last_forwarded, send_all_counts, demand);
+        if (send_all_counts || forwarded_count != asked || !demand.classes().empty()) {
             demand.set_service(service);
             demand.set_asked(asked);
             forwarded_count = asked;
+            *forwarded.add_service_demands() = std::move(demand);
         }
     }
     return forwarded;
@@ -367,6 +376,7 @@
     peer->last_heard = now;
     peer->sequence = gossip.sequence();
     peer->accepting = gossip.accepting();
+    peer->busy = gossip.busy();
     peer->mirror_position =
         std::max(peer->mirror_position, store_position{gossip.store_epoch(), gossip.store_revision()});
     peer->access = decode_access(gossip.store_access());
--- a/test/correctness/placement_test.cpp
+++ b/test/correctness/placement_test.cpp
@@ -33,12 +33,14 @@
     // Index of the expected choice; -1 if none.
     int expected;
     bool shared_homes = false;
+    bool refuse_late_cold_runs = false;
 };
 
 void check_choice(const choice_row& row) {
     // The rows are built for the primary target of key 7, which primary_of_key_7() determines.
-    const placement placed = place_request(
-        row.candidates, {7, warm, cold, row.assume_primary_warm, true, row.max_latency, row.shared_homes});
+    const placement placed =
+        place_request(row.candidates, {7, warm, cold, row.assume_primary_warm, true, row.max_latency,
+                                       row.shared_homes, false, 0, row.refuse_late_cold_runs});
     CPPUNIT_ASSERT_EQUAL(row.expected, placed.index ? static_cast<int>(*placed.index) : -1);
 }
 
@@ -57,6 +59,11 @@
     return candidate;
 }
 
+placement_candidate with_usable_slots(placement_candidate candidate, double slots) {
+    candidate.usable_slots = slots;
+    return candidate;
+}
+
 int primary_of_key_7() {
     const std::vector<placement_candidate> both{make_candidate(11, 0), make_candidate(12, 0)};
     return static_cast<int>(*place_request(both, {7, warm, cold, false, false, milliseconds(1000)}).index);
@@ -83,6 +90,48 @@
          false,
          generous,
          1},
+        // A low class must not use the slots, or the queue, that more urgent classes need.
+        {"does not queue where a class may not",
+         {with_usable_slots(make_candidate(primary, 4), 4)},
+         false,
+         generous,
+         -1},
+        {"uses the slots of its class",
+         {with_usable_slots(make_candidate(primary, 2), 3)},
+         false,
+         generous,
+         0},
+        {"leaves the slots that are kept for others",
+         {with_usable_slots(make_candidate(primary, 3), 3)},
+         false,
+         generous,
+         -1},
+        {"prefers a warm target with a usable slot",
+         {with_usable_slots(make_candidate(primary, 4), 4),
+          with_usable_slots(recently_used(make_candidate(other, 3, false)), 4)},
+         false,
+         generous,
+         1},
+        // A cold run that comes late takes the slot time of several warm runs in time.
+        {"refuses a late cold run of a service that is short of slots",
+         {make_candidate(primary, 0), recently_used(make_candidate(other, 30))},
+         false,
+         milliseconds(200),
+         -1,
+         false,
+         true},
+        {"runs a late cold run otherwise",
+         {make_candidate(primary, 0), recently_used(make_candidate(other, 30))},
+         false,
+         milliseconds(200),
+         0},
+        {"runs cold late if a warm run would be late as well",
+         {make_candidate(primary, 0), recently_used(make_candidate(other, 30))},
+         false,
+         milliseconds(50),
+         0,
+         false,
+         true},
         {"never runs cold on a target without spare capacity",
          {make_candidate(primary, 12), make_candidate(other, 3)},
          false,
@@ -185,7 +234,7 @@
     for (int i = 0; i < requests; ++i) {
         const placement placed =
             place_request(row.candidates, {row.key, warm, cold, false, false, milliseconds(1000),
-                                           row.shared_homes, random()});
+                                           row.shared_homes, false, 0, false, random()});
         shares.at(*placed.index) += 1.0 / requests;
     }
     for (std::size_t i = 0; i < shares.size(); ++i) {
@@ -280,6 +329,59 @@
            {{"all VMs spill a key to the same target", all_vms_spill_a_key_to_the_same_target}},
            run_scenario);
 
+struct zone_row {
+    std::string name;
+    bool shared_homes;
+    // The choosing VM is in the zone of the key's secondary target, not of its primary one.
+    bool is_in_secondary_zone;
+    // Loads of the two targets, which have 4 slots.
+    double primary_load;
+    double secondary_load;
+    // The targets of all zones but the primary target's are degraded.
+    bool others_degraded;
+    bool expects_primary;
+};
+
+// Guards against homes of a key that are all in one availability zone: the requests of the VMs in other zones
+// would all cross zones, and the key would be cold when the zone ends.
+void check_zone(const zone_row& row) {
+    for (std::uint64_t key = 0; key < 50; ++key) {
+        std::vector<placement_candidate> candidates;
+        for (std::uint64_t identity = 11; identity < 20; ++identity) {
+            candidates.push_back(make_candidate(identity, 0));
+            candidates.back().zone = identity % 3;
+        }
+        const auto choose = [&](bool shared_homes, std::uint64_t zone) {
+            return *place_request(candidates, {key, warm, cold, false, false, milliseconds(1000),
+                                               shared_homes, false, zone})
+                        .index;
+        };
+        const std::size_t primary = choose(false, 0);
+        const std::uint64_t primary_zone = candidates[primary].zone;
+        for (placement_candidate& candidate : candidates) {
+            candidate.degraded = row.others_degraded && candidate.zone != primary_zone;
+        }
+        candidates[primary].load = 9;
+        const std::size_t secondary = choose(true, primary_zone);
+        CPPUNIT_ASSERT(secondary != primary);
+        CPPUNIT_ASSERT_EQUAL(row.others_degraded, candidates[secondary].zone == primary_zone);
+        candidates[primary].load = row.primary_load;
+        candidates[secondary].load = row.secondary_load;
+        const std::uint64_t zone = row.is_in_secondary_zone ? candidates[secondary].zone : primary_zone;
+        CPPUNIT_ASSERT_EQUAL(row.expects_primary ? primary : secondary, choose(row.shared_homes, zone));
+    }
+}
+
+const test_table<zone_row>
+    zones("placement zones",
+          {{"without shared homes, the zone does not matter", false, true, 3, 0, false, true},
+           {"the primary target is in the VM's zone", true, false, 3, 0, false, true},
+           {"the secondary target is in the VM's zone", true, true, 0, 3, false, false},
+           {"the primary target of the VM's zone is full", true, false, 9, 3, false, false},
+           {"the secondary target of the VM's zone is full", true, true, 3, 9, false, true},
+           {"the other zones' targets are degraded", true, false, 9, 3, true, false}},
+          check_zone);
+
 // A target with an LRU cache of `capacity` objects.
 struct lru_target {
     std::deque<std::uint64_t> cached;
@@ -298,6 +400,31 @@
     }
 };
 
+// In a region with few targets, two copies of each key would push others out of the targets' memory: with one
+// home, every VM must send a key to its primary target, wherever the VM is.
+void a_key_has_one_home_where_targets_are_few() {
+    for (std::uint64_t key = 0; key < 50; ++key) {
+        std::vector<placement_candidate> candidates;
+        for (std::uint64_t identity = 11; identity < 15; ++identity) {
+            candidates.push_back(make_candidate(identity, 0));
+            candidates.back().zone = identity % 2;
+        }
+        const auto choose = [&](bool shared_homes, bool single_home, std::uint64_t zone) {
+            return *place_request(candidates, {key, warm, cold, false, false, milliseconds(1000),
+                                               shared_homes, single_home, zone})
+                        .index;
+        };
+        const std::size_t primary = choose(false, false, 0);
+        CPPUNIT_ASSERT_EQUAL(primary, choose(true, true, 0));
+        CPPUNIT_ASSERT_EQUAL(primary, choose(true, true, 1));
+    }
+}
+
+const test_table<scenario>
+    homes("placement homes",
+          {{"a key has one home where targets are few", a_key_has_one_home_where_targets_are_few}},
+          run_scenario);
+
 struct load_row {
     std::string name;
     std::size_t targets;
@@ -408,6 +535,8 @@
     // Fraction of the requests of the last third that must meet their latency objective.
     double min_in_objective;
     bool shared_homes;
+    // Availability zones that VMs and targets alternate over.
+    std::size_t zones = 1;
     // Targets that are nearly as good share the requests, as they do when targets report their speed.
     bool shares_requests = false;
 };
@@ -498,13 +627,15 @@
                 const double ratio = vm.health[i].service_time_ratio;
                 candidate.service_time_ratio = ratio == 0 ? 1 : std::clamp(ratio, 0.5, 8.0);
                 candidate.degraded = is_degraded(vm.health[i]);
+                candidate.zone = i % row.zones;
                 candidates.push_back(candidate);
             }
             const bool explore = random() % 16 == 0;
             const auto draw = row.shares_requests ? std::optional<std::uint64_t>(random()) : std::nullopt;
             const placement placed =
                 place_request(candidates, {key, vm.warm_time, std::max(vm.warm_time, vm.cold_time), explore,
-                                           false, objective_steps * step_time, row.shared_homes, draw});
+                                           false, objective_steps * step_time, row.shared_homes, false,
+                                           vm_index % row.zones, false, draw});
             if (!placed.index || targets[*placed.index].queue.size() >= queue_limit) {
                 continue;
             }
@@ -525,9 +656,10 @@
                  {"60 VMs, 34 targets", 60, 34, 150, 59, 0.65, 0.9, true},
                  {"60 VMs, 68 targets", 60, 68, 346, 31, 0.65, 0.9, true},
                  {"195 VMs, 90 targets", 195, 90, 600, 40, 0.65, 0.9, true},
-                 {"8 VMs, requests shared", 8, 14, 150, 40, 0.5, 0.9, false, true},
-                 {"60 VMs, requests shared", 60, 68, 346, 31, 0.65, 0.9, true, true},
-                 {"195 VMs, requests shared", 195, 90, 600, 40, 0.65, 0.9, true, true}},
+                 {"8 VMs, requests shared", 8, 14, 150, 40, 0.5, 0.9, false, 1, true},
+                 {"60 VMs, requests shared", 60, 68, 346, 31, 0.65, 0.9, true, 1, true},
+                 {"195 VMs, requests shared", 195, 90, 600, 40, 0.65, 0.9, true, 1, true},
+                 {"60 VMs, 68 targets, 2 zones", 60, 68, 346, 31, 0.65, 0.9, true, 2}},
                 check_cold_start);
 
 } // namespace
