--- a/packages/proxy/node_metrics.h
+++ b/packages/proxy/node_metrics.h
@@ -74,7 +74,6 @@
 // Returns the gauge of the figures that targets report about their current speed, in percent: their number,
 // minimum, median and maximum. Returns an empty text if there are none.
 [[nodiscard]] std::string render_target_slowdowns(std::vector<std::uint32_t> percents);
-}
 
 // Returns the budget and the used bytes of each part in the same format; empty without a budget.
 // `store_bytes` is the size of the store's items.
