--- a/test/correctness/target_speed_test.cpp
+++ b/test/correctness/target_speed_test.cpp
@@ -196,8 +196,9 @@
                     std::clamp((ratio == 0 ? 1 : ratio) * candidates[i].slowdown, 0.5, 8.0);
                 candidates[i].degraded = is_degraded(view.health);
             }
-            const placement placed = place_request(candidates, {key, vm.usual_time, 3 * vm.usual_time, false,
-                                                                false, milliseconds(5000), true, random()});
+            const placement placed =
+                place_request(candidates, {key, vm.usual_time, 3 * vm.usual_time, false, false,
+                                           milliseconds(5000), true, false, 0, false, random()});
             const std::size_t chosen = *placed.index;
             vm.homes.at(chosen).load += 1;
             homes.at(chosen).requests.push_back({index, now, candidates[chosen].load,
