--- a/packages/proxy/simple_http_service.cpp
+++ b/packages/proxy/simple_http_service.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <fmt/format.h>
 #include <iterator>
 
 namespace cassiaspan {
@@ -150,6 +151,22 @@
     }
 }
 
+// Returns the gauges of the regions' shares of this VM's callers, and of the occupied slots, by service.
+std::string render_region_shares(const node_core& core) {
+    std::string text;
+    for (const auto& [service, stats] : core.services) {
+        for (const auto& [region, share] : stats.shares) {
+            text += fmt::format("cassiaspan_region_share{{service=\"{}\",region=\"{}\"}} {:.3f}\n", service,
+                                region, share);
+        }
+        for (const auto& [region, slots] : stats.occupied_slots) {
+            text += fmt::format("cassiaspan_occupied_slots{{service=\"{}\",region=\"{}\"}} {:.1f}\n", service,
+                                region, slots);
+        }
+    }
+    return text;
+}
+
 } // namespace
 
 asio::awaitable<void> serve_simple_requests(node_core& core, tcp::acceptor& acceptor,
@@ -215,6 +232,7 @@
     }
     return make_response(request, http::status::ok,
                          render(core.metrics) + render(core.memory, store_bytes) +
+                             render_region_shares(core) +
                              render_target_slowdowns(recent_speed_percents(core.targets, now_of(core))));
 }
 
