Divide slots by class only where routes differ in priority

Cause: all deployments have workspaces of different priority, so admission by class acted in services with one kind of requests, which are to be served as before, and there it refused more than it saved. Change: routes of two priorities turn it on.

--- a/packages/policy/admission.cpp
+++ b/packages/policy/admission.cpp
@@ -139,9 +139,12 @@
 
 std::vector<class_priority> find_classes(const steering_rules& rules, const std::string& service) {
     std::set<class_priority> found;
-    visit_classes(rules, service,
-                  [&found](const route_rule&, const class_priority& each) { found.insert(each); });
-    if (found.size() < 2) {
+    std::set<int> route_priorities;
+    visit_classes(rules, service, [&](const route_rule& route, const class_priority& each) {
+        found.insert(each);
+        route_priorities.insert(route.priority);
+    });
+    if (route_priorities.size() < 2) {
         return {};
     }
     std::vector<class_priority> classes(found.begin(), found.end());
--- a/packages/policy/admission.h
+++ b/packages/policy/admission.h
@@ -43,7 +43,8 @@
 [[nodiscard]] class_priority unpack_priority(std::uint32_t packed);
 
 // Returns the classes that requests of the service can have by the configuration, most urgent first. Empty if
-// there are fewer than two: admission control is then off.
+// all routes of the service have the same priority: admission control is then off. Priorities of workspaces
+// alone do not turn it on, since they do not say that different kinds of work compete for the slots.
 [[nodiscard]] std::vector<class_priority> find_classes(const steering_rules& rules,
                                                        const std::string& service);
 
