Turn admission by class on by a setting only

Change: requests are admitted by class only with admission-by-class in the settings; without it nothing is counted, sent or refused by class.

--- a/packages/proxy/class_admission.cpp
+++ b/packages/proxy/class_admission.cpp
@@ -27,7 +27,7 @@
 
 // Takes the classes of all services from the current configuration. Classes that stay keep their counts.
 void adopt_classes(node_core& core) {
-    if (core.classes_config == core.config) {
+    if (!core.settings.admits_by_class || core.classes_config == core.config) {
         return;
     }
     core.classes_config = core.config;
--- a/packages/proxy/node_settings.h
+++ b/packages/proxy/node_settings.h
@@ -41,6 +41,9 @@
     // How long a target serves new requests after it has announced that it is leaving.
     milliseconds target_drain_time{2500};
 
+    // Whether requests are admitted by class where routes of different priority share a service
+    // (class_admission.h).
+    bool admits_by_class = false;
     // Retry budget of each service.
     retry_budget_limits retries;
     // Limits how fast requests move between regions.
