--- a/packages/proxy/class_admission.cpp
+++ b/packages/proxy/class_admission.cpp
@@ -87,6 +87,11 @@
     return std::chrono::duration_cast<milliseconds>(plan.deadline - now_of(core));
 }
 
+// Returns when the peer sent its last report, or when it was first seen if it has sent none.
+instant last_report_of(const peer_vm& peer) {
+    return peer.last_heard ? *peer.last_heard : peer.first_seen;
+}
+
 // Returns for how long no VM has sent a report; 0 if no other VM is known.
 nanoseconds gossip_silence(const node_core& core) {
     if (core.peers.by_name.empty()) {
@@ -94,7 +99,8 @@
     }
     instant last = instant::min();
     for (const auto& [name, peer] : core.peers.by_name) {
-        last = std::max(last, peer.last_heard.value_or(peer.first_seen));
+        const instant reported = last_report_of(peer);
+        last = reported > last ? reported : last;
     }
     return now_of(core) - last;
 }
@@ -288,16 +294,18 @@
 
 void update_class_admission(node_core& core, milliseconds interval) {
     adopt_classes(core);
-    std::optional<fleet_view> fleet;
+    const bool has_classes = std::any_of(core.services.begin(), core.services.end(), [](const auto& entry) {
+        return !entry.second.classes.classes.empty();
+    });
+    if (!has_classes) {
+        return;
+    }
+    const fleet_view fleet{assess_demand_knowledge(gossip_silence(core)),
+                           static_cast<double>(count_bucket_replicas(core).total)};
     for (auto& [service, stats] : core.services) {
-        if (stats.classes.classes.empty()) {
-            continue;
-        }
-        if (!fleet) {
-            fleet = {assess_demand_knowledge(gossip_silence(core)),
-                     static_cast<double>(count_bucket_replicas(core).total)};
+        if (!stats.classes.classes.empty()) {
+            update_service(core, service, stats, fleet, interval);
         }
-        update_service(core, service, stats, *fleet, interval);
     }
 }
 
