--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -50,8 +50,11 @@
                                             json::array({make_route("/get/", "idempotent", 4000, "catalogue"),
                                                          make_route("/post/", "non_idempotent", 4000)}),
                                             max_header_bytes, {"search", "catalogue"}));
-        const plain_target catalogue(this->harness.platform(), this->harness.platform().store_address().host,
-                                     "i-catalogue", "catalogue");
+        const auto put = [this](const std::string& key, const std::string& value) {
+            this->harness.platform().put(key, value);
+        };
+        const plain_target catalogue(put, this->harness.platform().store_address().host, "i-catalogue",
+                                     "catalogue");
         const std::vector<std::string> zones{"north-a", "north-b", "south-a"};
         for (int i = 0; i < vm_count; ++i) {
             this->vms[i].vm = &this->harness.start_vm({}, true, zones[i]);
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -2,7 +2,6 @@
 
 #include "case.h"
 
-#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <thread>
@@ -16,7 +15,6 @@
 namespace {
 
 constexpr int vm_count = 3;
-constexpr double link_bits_per_second = 10e6;
 // value-bytes of the store in the platform's settings.
 constexpr std::size_t value_bytes = 1'048'576;
 constexpr std::size_t configuration_bytes = 1'040'000;
@@ -26,84 +24,6 @@
 constexpr milliseconds judged_time{15'000};
 constexpr std::size_t max_header_bytes = 16'384;
 
-// The link of one machine to the platform's store: passes on at most link_bits_per_second each way, for all
-// connections together.
-class machine_link {
-public:
-    machine_link(const std::string& ip, socket_address store_in)
-        : store(std::move(store_in)), acceptor(this->context, {asio::ip::make_address(ip), 0}) {
-        asio::co_spawn(this->context, this->accept_connections(), asio::detached);
-        this->thread = std::thread([this] { this->context.run(); });
-    }
-    ~machine_link() {
-        this->context.stop();
-        this->thread.join();
-    }
-    machine_link(const machine_link&) = delete;
-    machine_link& operator=(const machine_link&) = delete;
-    machine_link(machine_link&&) = delete;
-    machine_link& operator=(machine_link&&) = delete;
-
-    [[nodiscard]] socket_address address() const {
-        const auto endpoint = this->acceptor.local_endpoint();
-        return {endpoint.address().to_string(), endpoint.port()};
-    }
-
-private:
-    using time_point = std::chrono::steady_clock::time_point;
-
-    asio::awaitable<void> accept_connections() {
-        for (;;) {
-            auto vm = std::make_shared<tcp::socket>(this->context);
-            error_code error;
-            co_await this->acceptor.async_accept(*vm, capture_error(error));
-            auto platform = std::make_shared<tcp::socket>(this->context);
-            if (!error) {
-                co_await platform->async_connect(to_tcp_endpoint(this->store), capture_error(error));
-            }
-            if (!error) {
-                asio::co_spawn(this->context, this->pass_on(vm, platform, this->up_free_at), asio::detached);
-                asio::co_spawn(this->context, this->pass_on(platform, vm, this->down_free_at),
-                               asio::detached);
-            }
-        }
-    }
-
-    asio::awaitable<void> pass_on(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to,
-                                  time_point& free_at) {
-        constexpr double bits_per_byte = 8;
-        std::vector<char> bytes(4096);
-        error_code error;
-        for (;;) {
-            const std::size_t count =
-                co_await from->async_read_some(asio::buffer(bytes), capture_error(error));
-            if (error) {
-                break;
-            }
-            const std::chrono::duration<double> time(static_cast<double>(count) * bits_per_byte /
-                                                     link_bits_per_second);
-            free_at = std::max(free_at, std::chrono::steady_clock::now()) +
-                      std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
-            asio::steady_timer timer(this->context);
-            timer.expires_at(free_at);
-            co_await timer.async_wait(capture_error(error));
-            co_await asio::async_write(*to, asio::buffer(bytes.data(), count), capture_error(error));
-            if (error) {
-                break;
-            }
-        }
-        from->close(error);
-        to->close(error);
-    }
-
-    socket_address store;
-    asio::io_context context{1};
-    tcp::acceptor acceptor;
-    time_point up_free_at;
-    time_point down_free_at;
-    std::thread thread;
-};
-
 // One request of a caller, and when it was sent.
 struct sent_request {
     std::chrono::steady_clock::time_point sent_at;
--- a/review/common-2/case.h
+++ b/review/common-2/case.h
@@ -3,6 +3,7 @@
 
 #include "node_harness.h"
 
+#include <algorithm>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -10,12 +11,14 @@
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <poll.h>
 #include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace cassiaspan::review {
 
@@ -174,14 +177,15 @@
 // service.
 class plain_target {
 public:
-    plain_target(test::platform_standin& platform, const std::string& ip, const std::string& id,
-                 const std::string& service)
+    // `put` writes an item to the store.
+    plain_target(const std::function<void(const std::string&, const std::string&)>& put,
+                 const std::string& ip, const std::string& id, const std::string& service)
         : acceptor(this->context, {asio::ip::make_address(ip), 0}) {
         const json entry = {
             {"address", ip + ":" + std::to_string(this->acceptor.local_endpoint().port())},
             {"info", {{"service", service}, {"version", "v1"}, {"zone", "north-a"}, {"slots", 8}}},
             {"status", {{"state", "ready"}, {"sequence", 1}, {"cold-remaining-ms", 0}}}};
-        platform.put("servers/" + id, entry.dump());
+        put("servers/" + id, entry.dump());
         asio::co_spawn(this->context, this->accept_connections(), asio::detached);
         this->thread = std::thread([this] { this->context.run(); });
     }
@@ -227,6 +231,86 @@
     std::thread thread;
 };
 
+constexpr double link_bits_per_second = 10e6;
+
+// The link of one machine to the platform's store: passes on at most link_bits_per_second each way, for all
+// connections together.
+class machine_link {
+public:
+    machine_link(const std::string& ip, socket_address store_in)
+        : store(std::move(store_in)), acceptor(this->context, {asio::ip::make_address(ip), 0}) {
+        asio::co_spawn(this->context, this->accept_connections(), asio::detached);
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+    ~machine_link() {
+        this->context.stop();
+        this->thread.join();
+    }
+    machine_link(const machine_link&) = delete;
+    machine_link& operator=(const machine_link&) = delete;
+    machine_link(machine_link&&) = delete;
+    machine_link& operator=(machine_link&&) = delete;
+
+    [[nodiscard]] socket_address address() const {
+        const auto endpoint = this->acceptor.local_endpoint();
+        return {endpoint.address().to_string(), endpoint.port()};
+    }
+
+private:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    asio::awaitable<void> accept_connections() {
+        for (;;) {
+            auto vm = std::make_shared<tcp::socket>(this->context);
+            error_code error;
+            co_await this->acceptor.async_accept(*vm, capture_error(error));
+            auto platform = std::make_shared<tcp::socket>(this->context);
+            if (!error) {
+                co_await platform->async_connect(to_tcp_endpoint(this->store), capture_error(error));
+            }
+            if (!error) {
+                asio::co_spawn(this->context, this->pass_on(vm, platform, this->up_free_at), asio::detached);
+                asio::co_spawn(this->context, this->pass_on(platform, vm, this->down_free_at),
+                               asio::detached);
+            }
+        }
+    }
+
+    asio::awaitable<void> pass_on(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to,
+                                  time_point& free_at) {
+        constexpr double bits_per_byte = 8;
+        std::vector<char> bytes(4096);
+        error_code error;
+        for (;;) {
+            const std::size_t count =
+                co_await from->async_read_some(asio::buffer(bytes), capture_error(error));
+            if (error) {
+                break;
+            }
+            const std::chrono::duration<double> time(static_cast<double>(count) * bits_per_byte /
+                                                     link_bits_per_second);
+            free_at = std::max(free_at, std::chrono::steady_clock::now()) +
+                      std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
+            asio::steady_timer timer(this->context);
+            timer.expires_at(free_at);
+            co_await timer.async_wait(capture_error(error));
+            co_await asio::async_write(*to, asio::buffer(bytes.data(), count), capture_error(error));
+            if (error) {
+                break;
+            }
+        }
+        from->close(error);
+        to->close(error);
+    }
+
+    socket_address store;
+    asio::io_context context{1};
+    tcp::acceptor acceptor;
+    time_point up_free_at;
+    time_point down_free_at;
+    std::thread thread;
+};
+
 // Runs the case and turns exceptions into the exit code for a case that could not run.
 inline int run_case(const std::function<int()>& body) {
     try {
