--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -25,3 +25,7 @@
     g++ "${flags[@]}" "$folder/case.cpp" "${objects[@]}" "${libraries[@]}" -o "$out/case-$(basename "$folder")"
   fi
 done
+# What was seen and is no case: see review/REPORT-2.md.
+for name in refusal stalled; do
+  g++ "${flags[@]}" "review/found/$name.cpp" "${objects[@]}" "${libraries[@]}" -o "$out/found-$name"
+done
