Let callers that make no progress give up their places

Callers saw: with 300 callers that stop after one byte of a body of 100 (20 MB, 182 connections), no ordinary request was served within 30 s; the deadline of such a request is what its caller says.

Cause: a connection was closed for another only while it was idle. One whose request is being read kept its place until its own deadline, and the place of a caller that had just connected was the first to be taken. Where memory was short, the oldest body gave way, whatever it held, and room for the newcomer was taken for granted however little that one held.

Change: policy/eviction chooses who gives way, from plain values. Requests that are being read are asked for their connections too, by the same function, and so is a body of which a target has a part, while the VM waits for its caller (504: it may have run). The part of a body that has arrived is read at once, so that progress shows.

--- a/packages/proxy/accept_loop.cpp
+++ b/packages/proxy/accept_loop.cpp
@@ -28,10 +28,11 @@
             co_return;
         }
     }
-    evictable listed(listener->connections, now_of(core), [socket = socket.get()] {
-        error_code ignored;
-        socket->close(ignored);
-    });
+    evictable listed(listener->connections, remote_address(*socket), now_of(core), {},
+                     [socket = socket.get()] {
+                         error_code ignored;
+                         socket->close(ignored);
+                     });
     co_await listener->handler(std::move(socket));
 }
 
--- a/packages/proxy/asio_types.cpp
+++ b/packages/proxy/asio_types.cpp
@@ -18,6 +18,12 @@
     return address.host + ":" + std::to_string(address.port);
 }
 
+std::uint32_t remote_address(const tcp::socket& socket) {
+    error_code error;
+    const asio::ip::address address = socket.remote_endpoint(error).address();
+    return !error && address.is_v4() ? address.to_v4().to_uint() : 0;
+}
+
 error_code bind_and_listen(tcp::acceptor& acceptor, const socket_address& address) {
     // Queue length for connections that arrive in a burst. The kernel caps it at its own limit
     // (net.core.somaxconn).
--- a/packages/proxy/asio_types.h
+++ b/packages/proxy/asio_types.h
@@ -45,6 +45,9 @@
 // Returns the address as "host:port".
 [[nodiscard]] std::string format_address(const socket_address& address);
 
+// Returns the remote IPv4 address as a number; 0 if there is none, as once the connection has ended.
+[[nodiscard]] std::uint32_t remote_address(const tcp::socket& socket);
+
 // Opens the acceptor, binds it to the address and listens. Returns the error of the first step that failed.
 [[nodiscard]] error_code bind_and_listen(tcp::acceptor& acceptor, const socket_address& address);
 
--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -15,6 +15,9 @@
 // using a connection before it is closed.
 constexpr milliseconds keep_alive_margin{1000};
 
+// How long the reply to a caller that gives its place up for others may take.
+constexpr milliseconds last_reply_timeout{500};
+
 // Bytes of a response that may wait for the caller, whatever else waits, and the most that may. The first is
 // one read from a target.
 constexpr std::size_t min_queue_bytes = std::size_t{16} * 1024;
@@ -36,7 +39,7 @@
 }
 
 milliseconds write_timeout(const caller_connection_state& state) {
-    return write_timeout(state.core, state.request_deadline);
+    return state.has_given_way ? last_reply_timeout : write_timeout(state.core, state.request_deadline);
 }
 
 // Writes what the serializer holds: all of the message, or the chunk in its body. Returns false if the
@@ -64,7 +67,8 @@
 // headers.
 template <class Response> void set_connection_fields(caller_connection_state& state, Response& response) {
     // Shutdown may have begun since the request was read.
-    state.keep_alive = state.keep_alive && state.has_read_body && is_accepting(state.core);
+    state.keep_alive =
+        state.keep_alive && state.has_read_body && !state.has_given_way && is_accepting(state.core);
     response.keep_alive(state.keep_alive);
     if (state.keep_alive) {
         const milliseconds idle = current_idle_policy(state.core).idle_timeout;
@@ -92,13 +96,15 @@
 // a coroutine of their own, so that the target's response is read on meanwhile. That coroutine may end after
 // the request and its connection state.
 struct response_queue {
-    response_queue(node_core& core_in, std::shared_ptr<tcp::socket> socket_in, instant deadline)
-        : core(core_in), socket(std::move(socket_in)), request_deadline(deadline), changed(core_in.context),
-          reserved(core_in.memory, memory_part::responses) {
+    response_queue(node_core& core_in, std::shared_ptr<tcp::socket> socket_in, caller_source source_in,
+                   instant deadline)
+        : core(core_in), socket(std::move(socket_in)), source(source_in), request_deadline(deadline),
+          changed(core_in.context), reserved(core_in.memory, memory_part::responses) {
         this->changed.expires_at(asio::steady_timer::time_point::max());
     }
     node_core& core;
     std::shared_ptr<tcp::socket> socket;
+    caller_source source;
     instant request_deadline;
     http::response<http::buffer_body> message;
     std::unique_ptr<http::response_serializer<http::buffer_body>> serializer;
@@ -106,6 +112,8 @@
     std::string waiting;
     std::string writing;
     bool is_writing = false;
+    // Bytes that the caller's connection has taken.
+    std::size_t taken_bytes = 0;
     error_code error;
     // Cancelled when bytes were written or the connection failed.
     asio::steady_timer changed;
@@ -135,7 +143,10 @@
         while (!error) {
             const socket_timeout timeout(queue->core, queue->socket,
                                          write_timeout(queue->core, queue->request_deadline));
-            co_await http::async_write_some(*queue->socket, *queue->serializer, capture_error(error));
+            const std::size_t written =
+                co_await http::async_write_some(*queue->socket, *queue->serializer, capture_error(error));
+            queue->taken_bytes += written;
+            queue->changed.cancel();
         }
         if (error != http::error::need_buffer && !queue->error) {
             queue->error = error;
@@ -150,17 +161,21 @@
 
 // Waits until at most `limit` bytes are queued. A caller that reads nothing loses its connection when the
 // memory is needed for others. Returns false if the connection failed or was closed.
-asio::awaitable<bool> wait_for_queue(response_queue_ptr queue, std::size_t limit) {
-    evictable slow_reader(queue->core.memory.slow_readers, now_of(queue->core), [&slow = *queue] {
-        error_code ignored;
-        slow.error = asio::error::timed_out;
-        slow.socket->close(ignored);
-        slow.changed.cancel();
-        ++slow.core.metrics.connections_refused_by_reason["slow_reader"];
-    });
+asio::awaitable<bool> wait_for_queue(response_queue_ptr queue, std::size_t limit,
+                                     memory_reservation* request_memory) {
+    evictable slow_reader(queue->core.memory.slow_readers, queue->source, now_of(queue->core),
+                          held_memory{&queue->reserved, request_memory}, [&slow = *queue] {
+                              error_code ignored;
+                              slow.error = asio::error::timed_out;
+                              slow.socket->close(ignored);
+                              slow.changed.cancel();
+                              ++slow.core.metrics.connections_refused_by_reason["slow_reader"];
+                          });
     while (queue->is_writing && !queue->error && queued_bytes(*queue) > limit) {
+        const std::size_t before = queue->taken_bytes;
         error_code ignored;
         co_await queue->changed.async_wait(capture_error(ignored));
+        slow_reader.record_progress(queue->taken_bytes - before, now_of(queue->core));
     }
     co_return !queue->error;
 }
@@ -175,7 +190,7 @@
 
     asio::awaitable<bool> begin(const http::response_header<>& head, std::optional<std::uint64_t> length) {
         this->queue = std::make_shared<response_queue>(this->state.core, this->state.socket,
-                                                       this->state.request_deadline);
+                                                       this->state.source, this->state.request_deadline);
         auto& message = this->queue->message;
         message.base() = copy_head(head, this->version);
         message.erase(http::field::content_length);
@@ -218,7 +233,7 @@
         const std::size_t allowance = queue_allowance(*this->queue);
         bool ok = !this->queue->error;
         if (ok && queued_bytes(*this->queue) > allowance) {
-            ok = co_await wait_for_queue(this->queue, allowance);
+            ok = co_await wait_for_queue(this->queue, allowance, this->state.request_memory);
         }
         this->state.write_error = this->queue->error;
         co_return ok;
@@ -226,7 +241,7 @@
 
     asio::awaitable<void> finish(bool complete) {
         if (complete) {
-            complete = co_await wait_for_queue(this->queue, 0);
+            complete = co_await wait_for_queue(this->queue, 0, this->state.request_memory);
             this->state.write_error = this->queue->error;
         }
         auto& message = this->queue->message;
--- a/packages/proxy/caller_responses.h
+++ b/packages/proxy/caller_responses.h
@@ -16,9 +16,11 @@
 // State of one connection from a caller.
 struct caller_connection_state {
     caller_connection_state(node_core& core_in, std::shared_ptr<tcp::socket> socket_in)
-        : core(core_in), socket(std::move(socket_in)) {}
+        : core(core_in), socket(std::move(socket_in)), source(remote_address(*this->socket)) {}
     node_core& core;
     std::shared_ptr<tcp::socket> socket;
+    // The caller's address, or that of the peer.
+    caller_source source;
     // Whether the connection belongs to a peer that relays requests (relay.h).
     bool is_from_vm = false;
     // Bytes that were read from the socket but not parsed yet.
@@ -41,6 +43,8 @@
     memory_reservation* request_memory = nullptr;
     // Why the last response was not written completely; no error if it was.
     error_code write_error;
+    // The connection is given up for others: it is closed after the response, without waiting for the caller.
+    bool has_given_way = false;
 };
 
 // Returns the limits on requests and connections of callers: those of the configuration, or the defaults if
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -86,6 +86,13 @@
     state.socket->cancel(ignored);
 }
 
+// Ends the current wait for the caller, which gives its place or memory up for others.
+void give_way(caller_connection_state& state, socket_timeout& wait, const char* reason) {
+    state.has_given_way = true;
+    ++state.core.metrics.connections_refused_by_reason[reason];
+    wait.expire();
+}
+
 // Waits for the first bytes of a request. Returns false if the connection ended or was idle for too long.
 asio::awaitable<bool> wait_for_request(caller_connection_state& state) {
     // Most request headers fit into this. It limits the memory that an idle connection uses.
@@ -95,8 +102,10 @@
     }
     const socket_timeout timeout(state.core, state.socket,
                                  state.idle_timeout.value_or(current_caller_limits(state.core).idle_timeout));
-    evictable idle(state.core.memory.idle_connections, now_of(state.core),
-                   [&state] { cancel_operations(state); });
+    // A caller that has just connected is about to send its first request.
+    const bool is_first = !state.idle_timeout;
+    evictable waiting(is_first ? state.core.memory.slow_requests : state.core.memory.idle_connections,
+                      state.source, now_of(state.core), {}, [&state] { cancel_operations(state); });
     error_code error;
     std::size_t bytes =
         co_await state.socket->async_read_some(state.buffer.prepare(first_read_bytes), capture_error(error));
@@ -108,7 +117,7 @@
     co_return !error;
 }
 
-// Reads bytes of the body, at most `room`, and appends them to `body`.
+// Reads the bytes of the body that have arrived, at most `room`, and appends them to `body`.
 asio::awaitable<error_code> read_body_chunk(caller_connection_state& state, request_parser& parser,
                                             std::string& body, std::size_t room) {
     const std::size_t old_size = body.size();
@@ -117,7 +126,7 @@
     buffer_body.data = body.data() + old_size;
     buffer_body.size = room;
     error_code error;
-    co_await http::async_read(*state.socket, state.buffer, parser, capture_error(error));
+    co_await http::async_read_some(*state.socket, state.buffer, parser, capture_error(error));
     body.resize(old_size + room - buffer_body.size);
     state.core.caller_bytes += room - buffer_body.size;
     co_return error == http::error::need_buffer ? error_code() : error;
@@ -135,8 +144,8 @@
                   std::size_t limit, memory_reservation& reserved) {
     const std::size_t first = length ? static_cast<std::size_t>(std::min<std::uint64_t>(*length, limit))
                                      : 2 * first_body_read_bytes;
-    return reserve_or_evict(reserved, body_reader_bytes + first, state.core.memory.slow_bodies,
-                            now_of(state.core));
+    return reserve_or_evict(reserved, body_reader_bytes + first, state.core.memory.slow_requests,
+                            state.source, now_of(state.core));
 }
 
 // Sets the connection's receive buffer, and with it how much the caller may send ahead.
@@ -190,10 +199,8 @@
     std::optional<evictable> listed;
     if (is_limited) {
         timeout.emplace(core, state.socket, request.timeout.value_or(default_body_timeout));
-        listed.emplace(core.memory.slow_bodies, now_of(core), [&state] {
-            ++state.core.metrics.connections_refused_by_reason["slow_body"];
-            cancel_operations(state);
-        });
+        listed.emplace(core.memory.slow_requests, state.source, now_of(core), held_memory{&reserved},
+                       [&state, &timeout] { give_way(state, *timeout, "slow_body"); });
     }
     if (is_limited && request.body_length) {
         // Avoids the copies of a string that grows. Pages that no byte was read to are not resident.
@@ -205,10 +212,14 @@
         // The reservation of an announced body covers all of it. A string that grows doubles its memory.
         const std::size_t needed = body_reader_bytes + 2 * (request.body.size() + room);
         if (!request.body_length && needed > reserved.size() &&
-            !reserve_or_evict(reserved, needed, core.memory.slow_bodies, now_of(core))) {
+            !reserve_or_evict(reserved, needed, core.memory.slow_requests, state.source, now_of(core))) {
             co_return body_read{{}, make_memory_refusal(core)};
         }
+        const std::size_t old_size = request.body.size();
         const error_code error = co_await read_body_chunk(state, parser, request.body, room);
+        if (listed && request.body.size() > old_size) {
+            listed->record_progress(request.body.size() - old_size, now_of(core));
+        }
         if ((listed && listed->is_evicted()) || (is_limited && error == asio::error::operation_aborted)) {
             co_return body_read{error, local_reply{408, "body_timeout", {}}};
         }
@@ -357,17 +368,29 @@
     spawn_task(state.core, "disconnect watch", watch_for_caller_disconnect(state.socket, cancellation));
 }
 
-// Returns the source of the part of the body that is not buffered. `state` and `parser` must outlive it. The
-// disconnect watch starts at the end of the body, because a disconnect before it shows as a failed read.
+// Returns the source of the part of the body that is not buffered. `state`, `parser` and `body_memory` must
+// outlive it. The disconnect watch starts at the end of the body, because a disconnect before it shows as a
+// failed read. A caller that gives way has its request ended as if its time had passed: a target has got a
+// part of it.
 body_source make_remaining_body_source(caller_connection_state& state, request_parser& parser,
-                                       cancellation_ptr cancellation) {
+                                       memory_reservation& body_memory, cancellation_ptr cancellation) {
     body_source source;
-    source.read = [&state, &parser,
+    source.read = [&state, &parser, &body_memory,
                    cancellation = std::move(cancellation)](std::string& chunk) -> asio::awaitable<bool> {
         chunk.clear();
         error_code error;
-        while (!error && chunk.empty() && !parser.is_done()) {
-            error = co_await read_body_chunk(state, parser, chunk, read_chunk_bytes);
+        {
+            // Until the caller sends something; the target's own delays do not count.
+            evictable waiting(state.core.memory.slow_requests, state.source, now_of(state.core),
+                              held_memory{&body_memory}, [&state, cancellation] {
+                                  state.has_given_way = true;
+                                  ++state.core.metrics.connections_refused_by_reason["slow_body"];
+                                  cancel_on_timeout(*cancellation);
+                                  cancel_operations(state);
+                              });
+            while (!error && chunk.empty() && !parser.is_done()) {
+                error = co_await read_body_chunk(state, parser, chunk, read_chunk_bytes);
+            }
         }
         state.has_read_body = parser.is_done();
         if (error == http::error::body_limit) {
@@ -388,7 +411,8 @@
 
 // Runs a planned request and writes its response. Returns false if the connection must be closed.
 asio::awaitable<bool> run_request(caller_connection_state& state, request_parser& parser,
-                                  const caller_request& request, request_plan& plan) {
+                                  const caller_request& request, request_plan& plan,
+                                  memory_reservation& body_memory) {
     node_core& core = state.core;
     state.request_deadline = plan.deadline;
     auto cancellation = std::make_shared<request_cancellation>();
@@ -398,8 +422,9 @@
     if (!request.has_unbuffered_body) {
         start_disconnect_watch(state, cancellation);
     }
-    body_source remaining_body =
-        request.has_unbuffered_body ? make_remaining_body_source(state, parser, cancellation) : body_source();
+    body_source remaining_body = request.has_unbuffered_body
+                                     ? make_remaining_body_source(state, parser, body_memory, cancellation)
+                                     : body_source();
     const response_sink sink = make_response_sink(state, request.head.version());
     forward_result result =
         co_await forward_request(core, request, plan, std::move(remaining_body), cancellation, sink);
@@ -447,9 +472,9 @@
     state.buffer.max_size(std::numeric_limits<std::size_t>::max());
     error_code error;
     {
-        const socket_timeout timeout(state.core, state.socket, limits.header_timeout);
-        evictable reading(state.core.memory.idle_connections, now_of(state.core),
-                          [&state] { cancel_operations(state); });
+        socket_timeout timeout(state.core, state.socket, limits.header_timeout);
+        evictable reading(state.core.memory.slow_requests, state.source, now_of(state.core), {},
+                          [&state, &timeout] { give_way(state, timeout, "slow_header"); });
         co_await http::async_read_header(*state.socket, state.buffer, parser, capture_error(error));
     }
     request.head = parser.get().base();
@@ -587,12 +612,12 @@
     }
     memory_reservation request_memory(state.core.memory, memory_part::responses);
     const std::size_t request_bytes = state.core.memory.budget ? state.core.memory.budget->request_bytes : 0;
-    if (!reserve_or_evict(request_memory, request_bytes, state.core.memory.slow_readers,
+    if (!reserve_or_evict(request_memory, request_bytes, state.core.memory.slow_readers, state.source,
                           now_of(state.core))) {
         co_return co_await end_refused_request(state, request, make_memory_refusal(state.core));
     }
     state.request_memory = &request_memory;
-    const bool ok = co_await run_request(state, parser, request, *plan);
+    const bool ok = co_await run_request(state, parser, request, *plan, body_memory);
     state.request_memory = nullptr;
     if (request.has_unbuffered_body) {
         narrow_receive_buffer(state);
@@ -636,7 +661,7 @@
         co_return;
     }
     const socket_timeout timeout(state.core, state.socket, lingering_close_timeout);
-    evictable closing(state.core.memory.idle_connections, now_of(state.core),
+    evictable closing(state.core.memory.idle_connections, state.source, now_of(state.core), {},
                       [&state] { cancel_operations(state); });
     while (!error) {
         co_await state.socket->async_read_some(asio::buffer(discarded), capture_error(error));
@@ -644,18 +669,24 @@
 }
 
 // Returns whether a further connection of a caller fits into the memory and the descriptors. If too many are
-// open, closes the one that has been idle for longest. Counts and logs both cases.
-bool admit_connection(node_core& core) {
+// open, closes the one that has been idle for longest, or else asks a caller that holds up others to give
+// way. Counts and logs all three cases.
+bool admit_connection(node_core& core, caller_source source) {
     const auto& budget = core.memory.budget;
     if (!budget || core.open_caller_connections < budget->max_caller_connections) {
         return true;
     }
-    const bool has_evicted = core.memory.idle_connections.evict_oldest(now_of(core), milliseconds(0));
-    const char* reason = has_evicted ? "idle" : "no_idle_connection";
+    const instant now = now_of(core);
+    const char* reason = "no_idle_connection";
+    if (core.memory.idle_connections.evict_oldest(now, milliseconds(0))) {
+        reason = "idle";
+    } else if (evict_connection(core.memory, source, now)) {
+        reason = "slow_caller";
+    }
     ++core.metrics.connections_refused_by_reason[reason];
-    core.log.write(now_of(core), node_event::connection_closed,
+    core.log.write(now, node_event::connection_closed,
                    log_fields().add("reason", reason).add("open", core.open_caller_connections));
-    return has_evicted;
+    return std::string_view(reason) != "no_idle_connection";
 }
 
 // Serves requests until the connection ends.
@@ -668,7 +699,7 @@
     error_code ignored;
     state.socket->non_blocking(true, ignored);
     bool ok = true;
-    while (ok && state.keep_alive) {
+    while (ok && state.keep_alive && !state.has_given_way) {
         ok = co_await wait_for_request(state);
         if (ok) {
             const scoped_count in_progress(core.requests_in_progress);
@@ -684,7 +715,7 @@
         }
         state.buffer.shrink_to_fit();
     }
-    if (ok) {
+    if (ok && !state.has_given_way) {
         co_await close_gracefully(state);
     }
     state.socket->close(ignored);
@@ -693,11 +724,10 @@
 } // namespace
 
 asio::awaitable<void> serve_caller_connection(node_core& core, std::shared_ptr<tcp::socket> socket) {
-    if (!admit_connection(core)) {
-        co_return;
-    }
     caller_connection_state state(core, std::move(socket));
-    co_await serve_connection(state);
+    if (admit_connection(core, state.source)) {
+        co_await serve_connection(state);
+    }
 }
 
 asio::awaitable<void> serve_relay_connection(node_core& core, std::shared_ptr<tcp::socket> socket) {
--- a/packages/proxy/memory_use.h
+++ b/packages/proxy/memory_use.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "clock.h"
+#include "eviction.h"
 #include "memory_budget.h"
 
 #include <cstddef>
@@ -13,9 +14,10 @@
 namespace cassiaspan {
 
 class evictable;
+class memory_reservation;
 
-// Holders of memory that may be asked to release it, in the order in which they were added. Not thread-safe.
-// Must outlive its holders.
+// Holders of connections or memory that may be asked to release them, in the order in which they were added.
+// Not thread-safe. Must outlive its holders.
 class eviction_list {
 public:
     // Asks the oldest holder to release what it holds if it was added at least `min_age` ago, and removes it
@@ -26,27 +28,42 @@
 
 private:
     friend class evictable;
+    friend class eviction_round;
     std::list<evictable*> holders;
 };
 
+// What a holder releases. Either may be null.
+struct held_memory {
+    memory_reservation* first = nullptr;
+    memory_reservation* second = nullptr;
+};
+
 // Lists a holder for its lifetime.
 class evictable {
 public:
     // `evict_in` is called at most once. It must start the release and return; it must not destroy the object
-    // itself.
-    evictable(eviction_list& list_in, instant now, std::function<void()> evict_in);
+    // itself. `held_in` must outlive it.
+    evictable(eviction_list& list_in, caller_source source_in, instant now, held_memory held_in,
+              std::function<void()> evict_in);
     ~evictable();
     evictable(const evictable&) = delete;
     evictable& operator=(const evictable&) = delete;
     evictable(evictable&&) = delete;
     evictable& operator=(evictable&&) = delete;
 
+    // Records that the caller has sent or taken bytes.
+    void record_progress(std::size_t bytes, instant now);
     [[nodiscard]] bool is_evicted() const { return this->evicted; }
 
 private:
     friend class eviction_list;
+    friend class eviction_round;
+    void give_way();
+
     eviction_list& list;
-    instant since;
+    // Without the amount, which depends on what is short.
+    caller_holding progress;
+    held_memory held;
     std::function<void()> evict;
     std::list<evictable*>::iterator position;
     bool evicted = false;
@@ -58,10 +75,11 @@
     std::optional<memory_budget> budget;
     // Reserved bytes.
     part_bytes used{};
-    // Connections that wait for a request, for its header or for the caller to close them, bodies that are
-    // being read, and responses whose callers do not read them.
+    // Connections between two requests, or that wait for the caller to close them.
     eviction_list idle_connections;
-    eviction_list slow_bodies;
+    // Requests that are being read, from the connection on if it is the first one.
+    eviction_list slow_requests;
+    // Responses that are being written.
     eviction_list slow_readers;
 };
 
@@ -90,18 +108,27 @@
     [[nodiscard]] bool try_resize(std::size_t new_bytes);
     // Changes the reservation also beyond the size of the part.
     void resize(std::size_t new_bytes);
+    // Releases the bytes for good, ahead of their holder, which has been asked to give way: later changes of
+    // the size have no effect.
+    void surrender();
+    // Returns by how many bytes the part is too small for `new_bytes` here.
+    [[nodiscard]] std::size_t missing_for(std::size_t new_bytes) const;
     [[nodiscard]] std::size_t size() const { return this->bytes; }
 
 private:
     memory_use& memory;
     memory_part part;
     std::size_t bytes = 0;
+    bool is_surrendered = false;
 };
 
-// Like try_resize(). If the part is used up, asks the oldest holder of `list` to give way, if it has been
-// there for long enough. What that one holds is released after this call, so the part is exceeded by it for a
-// moment.
+// Like try_resize(). If the part is used up, asks holders of `list` to give way to `source`; see
+// choose_evictions(). Their reservations end at once, their memory is freed soon after.
 [[nodiscard]] bool reserve_or_evict(memory_reservation& reservation, std::size_t new_bytes,
-                                    eviction_list& list, instant now);
+                                    eviction_list& list, caller_source source, instant now);
+
+// Asks a caller whose request is being read or whose response is being written to give up its connection.
+// Returns false if there is none that has to give way to `source`.
+[[nodiscard]] bool evict_connection(memory_use& memory, caller_source source, instant now);
 
 } // namespace cassiaspan
--- a/packages/proxy/socket_timeout.h
+++ b/packages/proxy/socket_timeout.h
@@ -18,6 +18,12 @@
         : core(core_in), socket(std::move(socket_in)) {
         this->cancel_from(now_of(this->core) + time);
     }
+    // Lets the time end now.
+    void expire() {
+        error_code ignored;
+        this->socket->cancel(ignored);
+        this->cancel_from(now_of(this->core));
+    }
 
 private:
     void cancel_from(instant when) {
