Let callers that do not read their responses give way

Callers saw: with 150 callers that pipeline small requests and read nothing (20 MB), ordinary requests got 503 for 30 s after the crowd.

Cause: a response that was read from its target completely was written with all that its request had reserved at the target (74 kB here, 229 kB on larger machines), in no list of those that give way, until the request's deadline. 44 such callers used up the memory for requests. The request's body was held too, twice.

Change: whatever is written to a caller is listed while it is written. Once the target has responded, only the response and its header stay reserved. The body is moved to the request for the target, not copied, and its reservation ends with the request there, or when it is refused.

--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -42,16 +42,29 @@
     return state.has_given_way ? last_reply_timeout : write_timeout(state.core, state.request_deadline);
 }
 
+// Lists a connection whose caller is to take bytes of a response, for the lifetime of the returned object.
+std::unique_ptr<evictable> list_slow_reader(caller_connection_state& state) {
+    return std::make_unique<evictable>(state.core.memory.slow_readers, state.source, now_of(state.core),
+                                       held_memory{state.request_memory}, [&state] {
+                                           error_code ignored;
+                                           state.has_given_way = true;
+                                           ++state.core.metrics.connections_refused_by_reason["slow_reader"];
+                                           state.socket->close(ignored);
+                                       });
+}
+
 // Writes what the serializer holds: all of the message, or the chunk in its body. Returns false if the
 // connection failed or the caller accepted no bytes for the write timeout.
 template <class Serializer>
 asio::awaitable<bool> write_remaining(caller_connection_state& state, Serializer& serializer) {
     error_code error;
+    const auto listed = list_slow_reader(state);
     while (!error && !serializer.is_done()) {
         const socket_timeout timeout(state.core, state.socket, write_timeout(state));
         const std::size_t written =
             co_await http::async_write_some(*state.socket, serializer, capture_error(error));
         state.core.caller_bytes += written;
+        listed->record_progress(written, now_of(state.core));
     }
     state.write_error = error == http::error::need_buffer ? error_code() : error;
     co_return !state.write_error;
@@ -210,6 +223,7 @@
             this->set_reset_on_close(true);
         }
         this->queue->serializer = std::make_unique<http::response_serializer<http::buffer_body>>(message);
+        const auto listed = list_slow_reader(this->state);
         const socket_timeout timeout(this->state.core, this->state.socket, write_timeout(this->state));
         co_await http::async_write_header(*this->state.socket, *this->queue->serializer,
                                           capture_error(this->state.write_error));
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -33,6 +33,9 @@
 // With limited memory: largest receive buffer of a connection whose body has been admitted. At a round trip
 // of 16 ms it allows 32 Mbit/s.
 constexpr std::size_t max_body_receive_buffer = std::size_t{64} * 1024;
+// With limited memory: reserved for a response that is being written, without its body: the header, and the
+// copy that is sent.
+constexpr std::size_t written_response_bytes = std::size_t{8} * 1024;
 // Mean Retry-After of a request that is refused for want of memory. Most requests end, and release theirs,
 // within this time.
 constexpr milliseconds memory_retry_after{500};
@@ -411,7 +414,7 @@
 
 // Runs a planned request and writes its response. Returns false if the connection must be closed.
 asio::awaitable<bool> run_request(caller_connection_state& state, request_parser& parser,
-                                  const caller_request& request, request_plan& plan,
+                                  caller_request& request, request_plan& plan,
                                   memory_reservation& body_memory) {
     node_core& core = state.core;
     state.request_deadline = plan.deadline;
@@ -431,6 +434,9 @@
     cancellation->finished = true;
     error_code ignored;
     state.socket->cancel(ignored);
+    // Nothing is held at a target any more. What the response needs is reserved when it is written.
+    body_memory.resize(0);
+    state.request_memory->resize(std::min(state.request_memory->size(), written_response_bytes));
     bool ok = false;
     request_summary summary;
     if (auto* response = std::get_if<target_response>(&result)) {
@@ -586,6 +592,10 @@
         widen_receive_buffer(state, request.body_length.value_or(body_limit), body_memory);
         const body_read read = co_await read_buffered_body(state, parser, request, body_limit, body_memory);
         state.request_id = request.id;
+        if (read.refusal || read.error) {
+            request.body = std::string();
+            body_memory.resize(0);
+        }
         if (read.refusal) {
             co_return co_await end_refused_request(state, request, *read.refusal);
         }
--- a/packages/proxy/forwarding.cpp
+++ b/packages/proxy/forwarding.cpp
@@ -44,21 +44,23 @@
 }
 
 // Returns the request to send to targets, with the body framing of its header: by Content-Length or chunked.
-outgoing_request make_outgoing(const node_core& core, const caller_request& request, const request_plan& plan,
+// Takes the body out of the caller's request.
+outgoing_request make_outgoing(const node_core& core, caller_request& request, const request_plan& plan,
                                body_source remaining_body) {
     outgoing_request outgoing;
     outgoing.head = make_outgoing_head(core, request, plan);
-    outgoing.body = request.body;
+    outgoing.body = std::move(request.body);
     outgoing.remaining_body = std::move(remaining_body);
     outgoing.id = request.id;
     outgoing.is_idempotent = may_be_repeated(plan.route->kind);
     outgoing.is_relayed = request.relayed.has_value();
     http::request<http::empty_body> with_framing(std::move(outgoing.head));
     if (!request.has_unbuffered_body) {
-        const bool had_body = !request.body.empty() || request.head.count(http::field::content_length) != 0 ||
+        const bool had_body = !outgoing.body.empty() ||
+                              request.head.count(http::field::content_length) != 0 ||
                               request.head.count(http::field::transfer_encoding) != 0;
         if (had_body) {
-            with_framing.content_length(request.body.size());
+            with_framing.content_length(outgoing.body.size());
         }
     } else if (request.body_length) {
         with_framing.content_length(*request.body_length);
@@ -335,9 +337,9 @@
     return listed.exists(name);
 }
 
-asio::awaitable<forward_result> forward_request(node_core& core, const caller_request& request,
-                                                request_plan& plan, body_source remaining_body,
-                                                cancellation_ptr cancellation, const response_sink& sink) {
+asio::awaitable<forward_result> forward_request(node_core& core, caller_request& request, request_plan& plan,
+                                                body_source remaining_body, cancellation_ptr cancellation,
+                                                const response_sink& sink) {
     if (auto refused = refuse_beyond_share(core, plan)) {
         co_return std::move(*refused);
     }
--- a/packages/proxy/forwarding.h
+++ b/packages/proxy/forwarding.h
@@ -34,12 +34,13 @@
 using forward_result = std::variant<target_response, local_reply, nothing_to_write>;
 
 // Forwards the request, unless admission control refuses it; `plan` then tells what was decided. A request
-// that finds no free slot may wait for one before its first attempt. `remaining_body` supplies the part of
+// that finds no free slot may wait for one before its first attempt. Takes the body out of `request`;
+// `remaining_body` supplies the part of
 // the body that is not buffered, `sink` receives a response that is too large to be buffered. Returns a
 // local_reply if the request is refused, no target is available, or all attempts failed.
-asio::awaitable<forward_result> forward_request(node_core& core, const caller_request& request,
-                                                request_plan& plan, body_source remaining_body,
-                                                cancellation_ptr cancellation, const response_sink& sink);
+asio::awaitable<forward_result> forward_request(node_core& core, caller_request& request, request_plan& plan,
+                                                body_source remaining_body, cancellation_ptr cancellation,
+                                                const response_sink& sink);
 
 // Returns whether `name` is a hop-by-hop header (RFC 9110, section 7.6.1): one of the fixed list, or one that
 // is listed in the Connection header of `fields`. These are not forwarded.
