Bound what the kernel keeps of responses that nobody reads

Seen: with 150 callers that read nothing of a response of 8 MB, a VM of 20 MB had 9 MB resident and 112 MB in its send queues, which count towards the memory of its machine.

Cause: the kernel lets a send buffer grow to megabytes, whatever the receiver takes.

Change: TCP_NOTSENT_LOWAT on the listeners and on connections to targets, 16 to 64 kB by the size of the machine, where memory is limited. What is in flight is not limited, so that long paths keep their speed.

--- a/packages/policy/memory_budget.cpp
+++ b/packages/policy/memory_budget.cpp
@@ -38,6 +38,10 @@
 // Receive buffers of targets: a response of 90 kB fits into one window, also from another region.
 constexpr std::size_t target_buffer_divisor = 1024;
 constexpr std::size_t max_target_buffer = 96 * kib;
+// Bytes that the kernel takes of a message and cannot send yet: enough for the next wake-up of a busy VM.
+constexpr std::size_t unsent_divisor = 4096;
+constexpr std::size_t min_unsent_bytes = 16 * kib;
+constexpr std::size_t max_unsent_bytes = 64 * kib;
 // The kernel doubles SO_RCVBUF to allow for its own overhead.
 constexpr std::size_t kernel_factor = 2;
 
@@ -72,6 +76,7 @@
         std::clamp(memory_bytes / caller_buffer_divisor, min_receive_buffer, max_caller_buffer);
     budget.target_receive_buffer =
         std::clamp(memory_bytes / target_buffer_divisor, min_receive_buffer, max_target_buffer);
+    budget.unsent_bytes = std::clamp(memory_bytes / unsent_divisor, min_unsent_bytes, max_unsent_bytes);
     budget.connection_bytes = connection_bytes_own + kernel_factor * budget.caller_receive_buffer;
     budget.request_bytes = request_bytes_own + kernel_factor * budget.target_receive_buffer;
     const std::size_t sockets = max_descriptors > file_descriptors ? max_descriptors - file_descriptors : 0;
--- a/packages/policy/memory_budget.h
+++ b/packages/policy/memory_budget.h
@@ -44,6 +44,8 @@
     // SO_RCVBUF of connections from callers and to targets. The kernel uses up to twice as much.
     std::size_t caller_receive_buffer = 0;
     std::size_t target_receive_buffer = 0;
+    // TCP_NOTSENT_LOWAT of all connections: how much the kernel takes beyond what the receiver lets it send.
+    std::size_t unsent_bytes = 0;
     auto operator<=>(const memory_budget&) const = default;
 };
 
--- a/packages/proxy/asio_types.cpp
+++ b/packages/proxy/asio_types.cpp
@@ -56,6 +56,12 @@
         ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout)));
 }
 
+void limit_unsent_bytes(int descriptor, std::size_t bytes) {
+    const auto value = static_cast<unsigned>(bytes);
+    // Where the system does not know the option, its own limits apply.
+    static_cast<void>(::setsockopt(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &value, sizeof(value)));
+}
+
 asio::awaitable<void> sleep_for(asio::io_context& context, nanoseconds time) {
     asio::steady_timer timer(context);
     timer.expires_after(time);
--- a/packages/proxy/asio_types.h
+++ b/packages/proxy/asio_types.h
@@ -55,6 +55,11 @@
 // when sent data is not acknowledged within `user_timeout`.
 void set_tcp_options(tcp::socket& socket, milliseconds user_timeout);
 
+// Bounds what the kernel takes of written bytes beyond those that the receiver's window lets it send
+// (TCP_NOTSENT_LOWAT, bytes). By default it takes some megabytes for a receiver that reads nothing. Accepted
+// connections inherit the option from their listener.
+void limit_unsent_bytes(int descriptor, std::size_t bytes);
+
 // Suspends the coroutine for `time`.
 asio::awaitable<void> sleep_for(asio::io_context& context, nanoseconds time);
 
--- a/packages/proxy/forwarding.h
+++ b/packages/proxy/forwarding.h
@@ -35,9 +35,8 @@
 
 // Forwards the request, unless admission control refuses it; `plan` then tells what was decided. A request
 // that finds no free slot may wait for one before its first attempt. Takes the body out of `request`;
-// `remaining_body` supplies the part of
-// the body that is not buffered, `sink` receives a response that is too large to be buffered. Returns a
-// local_reply if the request is refused, no target is available, or all attempts failed.
+// `remaining_body` supplies the part that is not buffered, `sink` receives a response that is too large to be
+// buffered. Returns a local_reply if the request is refused, no target is available, or all attempts failed.
 asio::awaitable<forward_result> forward_request(node_core& core, caller_request& request, request_plan& plan,
                                                 body_source remaining_body, cancellation_ptr cancellation,
                                                 const response_sink& sink);
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -104,6 +104,9 @@
             if (const error_code error = bind_and_listen(*acceptor, address)) {
                 return tl::unexpected(format_address(address) + ": " + error.message());
             }
+            if (const auto& budget = this->core.memory.budget) {
+                limit_unsent_bytes(acceptor->native_handle(), budget->unsent_bytes);
+            }
         }
         if (const error_code error = this->gossip.open()) {
             return tl::unexpected(format_address(settings.gossip_address) + ": " + error.message());
--- a/packages/proxy/target_connections.cpp
+++ b/packages/proxy/target_connections.cpp
@@ -93,6 +93,7 @@
         const auto bytes = static_cast<int>(core.memory.budget->target_receive_buffer);
         socket.open(endpoint.protocol(), error);
         socket.set_option(asio::socket_base::receive_buffer_size(bytes), error);
+        limit_unsent_bytes(socket.native_handle(), core.memory.budget->unsent_bytes);
     }
     co_await socket.async_connect(endpoint, capture_error(error));
     cancellation->active_socket = nullptr;
