Keep room for small requests

Callers saw: a request of one byte refused with 503 for want of memory while large bodies hold the budget, as if it needed as much as they.

Cause: all requests drew on the same part, and a large one may take all of what is left.

Change: one eighth of the parts for bodies and for requests at targets is kept for requests whose announced body has at most 16 kB.

--- a/packages/policy/memory_budget.cpp
+++ b/packages/policy/memory_budget.cpp
@@ -48,6 +48,11 @@
 // One holder may take this part of what is free.
 constexpr std::size_t share_divisor = 4;
 
+// Largest body of a small request: most requests that carry data of a person fit.
+constexpr std::size_t small_body_bytes = 16 * kib;
+// One part in this many is kept for small requests.
+constexpr std::size_t small_request_divisor = 8;
+
 // Bodies in flight at one target from all VMs, and the least that each VM may send: 64 MiB is the largest
 // body that a configuration allows by default.
 constexpr std::size_t target_body_bytes = 64 * mib;
@@ -92,6 +97,14 @@
     return used < part ? std::min(most, (part - used) / share_divisor) : 0;
 }
 
+bool is_small_request(std::size_t body_bytes) {
+    return body_bytes <= small_body_bytes;
+}
+
+std::size_t usable_bytes(std::size_t part, bool is_small) {
+    return is_small ? part : part - part / small_request_divisor;
+}
+
 bool fits_target(std::size_t body_bytes, std::size_t bytes_in_flight, std::size_t vms) {
     const std::size_t limit =
         std::max(min_target_body_bytes, target_body_bytes / std::max<std::size_t>(vms, 1));
--- a/packages/policy/memory_budget.h
+++ b/packages/policy/memory_budget.h
@@ -58,6 +58,13 @@
 // at most `most`. The amount decreases as the part fills, so that a few holders cannot fill it.
 [[nodiscard]] std::size_t share_of_one(std::size_t part, std::size_t used, std::size_t most);
 
+// Returns whether a request with a body of `body_bytes` is small: it may use the whole of a part.
+[[nodiscard]] bool is_small_request(std::size_t body_bytes);
+
+// Returns how many bytes of a part of `part` bytes a request may use: all of them if it is small, otherwise
+// what is not kept for small ones. A few large requests can then not keep out many small ones.
+[[nodiscard]] std::size_t usable_bytes(std::size_t part, bool is_small);
+
 // Returns whether a body of `body_bytes` may be sent to a target that holds bodies of `bytes_in_flight` from
 // this VM, one of `vms`. A single body is never held back.
 [[nodiscard]] bool fits_target(std::size_t body_bytes, std::size_t bytes_in_flight, std::size_t vms);
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -577,7 +577,9 @@
     if (const auto content_length = parser.content_length()) {
         request.body_length = *content_length;
     }
-    memory_reservation body_memory(state.core.memory, memory_part::request_bodies);
+    // A body of unknown length may become a large one.
+    const bool has_small_body = request.body_length && is_small_request(*request.body_length);
+    memory_reservation body_memory(state.core.memory, memory_part::request_bodies, has_small_body);
     const std::size_t body_limit = buffered_body_limit(state.core);
     if (!parser.is_done() && !reserve_body(state, request.body_length, body_limit, body_memory)) {
         co_return co_await end_refused_request(state, request, make_memory_refusal(state.core));
@@ -620,7 +622,8 @@
     if (!plan) {
         co_return co_await end_refused_request(state, request, plan.error());
     }
-    memory_reservation request_memory(state.core.memory, memory_part::responses);
+    const bool is_small = !request.has_unbuffered_body && is_small_request(request.body.size());
+    memory_reservation request_memory(state.core.memory, memory_part::responses, is_small);
     const std::size_t request_bytes = state.core.memory.budget ? state.core.memory.budget->request_bytes : 0;
     if (!reserve_or_evict(request_memory, request_bytes, state.core.memory.slow_readers, state.source,
                           now_of(state.core))) {
--- a/packages/proxy/memory_use.cpp
+++ b/packages/proxy/memory_use.cpp
@@ -40,7 +40,9 @@
 }
 
 std::size_t share_of_one(const memory_use& memory, memory_part part, std::size_t most) {
-    return memory.budget ? share_of_one(size_of(memory, part), used_of(memory, part), most) : most;
+    return memory.budget
+               ? share_of_one(usable_bytes(size_of(memory, part), false), used_of(memory, part), most)
+               : most;
 }
 
 std::size_t memory_reservation::missing_for(std::size_t new_bytes) const {
@@ -49,7 +51,7 @@
     if (!this->memory.budget || new_bytes <= this->bytes || used_by_others == 0) {
         return 0;
     }
-    const std::size_t size = size_of(this->memory, this->part);
+    const std::size_t size = usable_bytes(size_of(this->memory, this->part), this->is_small);
     return used_by_others + new_bytes > size ? used_by_others + new_bytes - size : 0;
 }
 
--- a/packages/proxy/memory_use.h
+++ b/packages/proxy/memory_use.h
@@ -91,13 +91,16 @@
     return memory.used.at(static_cast<std::size_t>(part));
 }
 
-// How many further bytes one holder may reserve in a part, at most `most`; `most` without a budget.
+// How many further bytes one holder may reserve in a part, at most `most`; `most` without a budget. What is
+// kept for small requests does not count.
 [[nodiscard]] std::size_t share_of_one(const memory_use& memory, memory_part part, std::size_t most);
 
 // Bytes reserved in one part, released at the end of its lifetime.
 class memory_reservation {
 public:
-    memory_reservation(memory_use& memory_in, memory_part part_in) : memory(memory_in), part(part_in) {}
+    // `is_small_in` tells whether the holder is a small request.
+    memory_reservation(memory_use& memory_in, memory_part part_in, bool is_small_in = false)
+        : memory(memory_in), part(part_in), is_small(is_small_in) {}
     ~memory_reservation() { this->resize(0); }
     memory_reservation(const memory_reservation&) = delete;
     memory_reservation& operator=(const memory_reservation&) = delete;
@@ -118,6 +121,7 @@
 private:
     memory_use& memory;
     memory_part part;
+    bool is_small;
     std::size_t bytes = 0;
     bool is_surrendered = false;
 };
--- a/test/correctness/memory_budget_test.cpp
+++ b/test/correctness/memory_budget_test.cpp
@@ -63,6 +63,23 @@
                                     {"of an exceeded part", 8 * mib, 9 * mib, 512 * kib, 0}},
                                    check_share);
 
+struct usable_row {
+    std::string name;
+    std::size_t body_bytes;
+    std::size_t part;
+    std::size_t expected;
+};
+
+void check_usable(const usable_row& row) {
+    CPPUNIT_ASSERT_EQUAL(row.expected, usable_bytes(row.part, is_small_request(row.body_bytes)));
+}
+
+const test_table<usable_row> usable("memory_budget usable part",
+                                    {{"without a body", 0, 8 * mib, 8 * mib},
+                                     {"with the largest small body", 16 * kib, 8 * mib, 8 * mib},
+                                     {"with a larger body", 16 * kib + 1, 8 * mib, 7 * mib}},
+                                    check_usable);
+
 struct target_row {
     std::string name;
     std::size_t body;
