Reject header fields that the HTTP library cannot store

Cause: Boost.Beast stores the lengths of a field in 16 bits and throws std::length_error for longer ones. The parser runs in the handlers of a composed read, so the exception leaves the event loop, not a coroutine.

Change: bounded_parser overrides how a parser stores a field and reports http::error::header_limit, which callers see as 431, also in a trailer. Responses of targets are read by it as well; there, the limit of 64 KiB for the whole header had kept fields short enough.

--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include "accept_loop.h"
 #include "background_task.h"
+#include "bounded_parser.h"
 #include "caller_responses.h"
 #include "forwarding.h"
 #include "relay.h"
@@ -82,7 +83,7 @@
     request_cancellation& cancellation;
 };
 
-using request_parser = http::request_parser<http::buffer_body>;
+using request_parser = bounded_parser<true>;
 
 void cancel_operations(caller_connection_state& state) {
     error_code ignored;
--- a/packages/proxy/target_attempt.cpp
+++ b/packages/proxy/target_attempt.cpp
@@ -1,5 +1,6 @@
 #include "target_attempt.h"
 
+#include "bounded_parser.h"
 #include "forwarding.h"
 #include "reach_tracking.h"
 #include "relay.h"
@@ -41,7 +42,7 @@
 // Limit of the body of a response that is skipped. A faulty target may send bytes without end.
 constexpr std::size_t max_skipped_body_bytes = std::size_t{1024} * 1024;
 
-using response_parser = http::response_parser<http::buffer_body>;
+using response_parser = bounded_parser<false>;
 
 // State of the write side of an attempt. Shared with the write coroutine of a large request, which runs while
 // the response is read and may end after the attempt.
