Reserve memory for long headers before they are read

Seen: with max-header-bytes 128 KiB, 300 callers that send 120 kB of a header and no end took a VM of 20 MB to 28 MB.

Cause: a connection reserves 8 kB for its header, whatever the configuration allows. The buffer doubles as it grows, and the parsed fields were kept twice.

Change: a header is read in steps; beyond 4 kB, three times its size is reserved in the part for request bodies first, and callers give way or the request is refused as for a body. The fields are moved out of the parser. Connections whose header is not complete give way after 250 ms when places are short, after all others: since they keep their place until then, a crowd of slow headers would have held all of them for 1 s.

--- a/packages/policy/eviction.cpp
+++ b/packages/policy/eviction.cpp
@@ -11,6 +11,9 @@
 
 // Callers with a usual round trip make progress within this time.
 constexpr milliseconds min_holding_time{1000};
+// The same for the header of a request, which arrives with the first segments of a connection: longer than a
+// segment that was lost takes to be sent again.
+constexpr milliseconds min_header_time{250};
 // A caller that moves fewer bytes counts as one that makes no progress, bytes per second. Mobile links in bad
 // conditions still move some thousand.
 constexpr double min_bytes_per_second = 500;
@@ -23,7 +26,13 @@
 constexpr std::size_t small_source_divisor = 8;
 
 // Why a holder may be asked, in the order in which they are.
-enum class eviction_reason { makes_no_progress, holds_for_long, holds_more, comes_from_dominant_source };
+enum class eviction_reason {
+    makes_no_progress,
+    holds_for_long,
+    holds_more,
+    has_no_header,
+    comes_from_dominant_source
+};
 
 using amounts_by_source = std::unordered_map<caller_source, std::size_t>;
 
@@ -45,6 +54,9 @@
     if (age >= min_holding_time && holder.amount > arriving.amount) {
         return eviction_reason::holds_more;
     }
+    if (holder.stage == caller_stage::header && age >= min_header_time) {
+        return eviction_reason::has_no_header;
+    }
     if (is_dominant) {
         return eviction_reason::comes_from_dominant_source;
     }
--- a/packages/policy/eviction.h
+++ b/packages/policy/eviction.h
@@ -17,9 +17,13 @@
 // A caller's IP address, or that of the VM that relays its request.
 using caller_source = std::uint32_t;
 
+// What a VM waits for. A header follows its connection at once, a body or the taking of a response may last.
+enum class caller_stage { header, body, response };
+
 // What one caller holds, and how it progresses.
 struct caller_holding {
     caller_source source = 0;
+    caller_stage stage = caller_stage::body;
     // Connections or bytes.
     std::size_t amount = 0;
     // Bytes that the caller has sent of its request, or taken of its response.
--- a/packages/proxy/accept_loop.cpp
+++ b/packages/proxy/accept_loop.cpp
@@ -28,8 +28,8 @@
             co_return;
         }
     }
-    evictable listed(listener->connections, remote_address(*socket), now_of(core), {},
-                     [socket = socket.get()] {
+    evictable listed(listener->connections, waiting_caller{remote_address(*socket), caller_stage::body},
+                     now_of(core), {}, [socket = socket.get()] {
                          error_code ignored;
                          socket->close(ignored);
                      });
--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -44,8 +44,9 @@
 
 // Lists a connection whose caller is to take bytes of a response, for the lifetime of the returned object.
 std::unique_ptr<evictable> list_slow_reader(caller_connection_state& state) {
-    return std::make_unique<evictable>(state.core.memory.slow_readers, state.source, now_of(state.core),
-                                       held_memory{state.request_memory}, [&state] {
+    return std::make_unique<evictable>(state.core.memory.slow_readers,
+                                       waiting_caller{state.source, caller_stage::response},
+                                       now_of(state.core), held_memory{state.request_memory}, [&state] {
                                            error_code ignored;
                                            state.has_given_way = true;
                                            ++state.core.metrics.connections_refused_by_reason["slow_reader"];
@@ -176,7 +177,8 @@
 // memory is needed for others. Returns false if the connection failed or was closed.
 asio::awaitable<bool> wait_for_queue(response_queue_ptr queue, std::size_t limit,
                                      memory_reservation* request_memory) {
-    evictable slow_reader(queue->core.memory.slow_readers, queue->source, now_of(queue->core),
+    evictable slow_reader(queue->core.memory.slow_readers,
+                          waiting_caller{queue->source, caller_stage::response}, now_of(queue->core),
                           held_memory{&queue->reserved, request_memory}, [&slow = *queue] {
                               error_code ignored;
                               slow.error = asio::error::timed_out;
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -34,6 +34,14 @@
 // With limited memory: largest receive buffer of a connection whose body has been admitted. At a round trip
 // of 16 ms it allows 32 Mbit/s.
 constexpr std::size_t max_body_receive_buffer = std::size_t{64} * 1024;
+// First read of a header. Most fit into it; it limits the memory that an idle connection uses.
+constexpr std::size_t first_header_read_bytes = 1024;
+// With limited memory: headers up to this size are covered by what their connections reserve. For longer
+// ones, the buffer that doubles as it grows and the parsed fields are reserved, then the parsed fields and
+// their copy for a target.
+constexpr std::size_t short_header_bytes = std::size_t{4} * 1024;
+constexpr std::size_t header_memory_factor = 3;
+constexpr std::size_t parsed_header_factor = 2;
 // With limited memory: reserved for a response that is being written, without its body: the header, and the
 // copy that is sent.
 constexpr std::size_t written_response_bytes = std::size_t{8} * 1024;
@@ -99,8 +107,6 @@
 
 // Waits for the first bytes of a request. Returns false if the connection ended or was idle for too long.
 asio::awaitable<bool> wait_for_request(caller_connection_state& state) {
-    // Most request headers fit into this. It limits the memory that an idle connection uses.
-    constexpr std::size_t first_read_bytes = 1024;
     if (state.buffer.size() > 0) {
         co_return true;
     }
@@ -109,13 +115,14 @@
     // A caller that has just connected is about to send its first request.
     const bool is_first = !state.idle_timeout;
     evictable waiting(is_first ? state.core.memory.slow_requests : state.core.memory.idle_connections,
-                      state.source, now_of(state.core), {}, [&state] { cancel_operations(state); });
+                      waiting_caller{state.source, caller_stage::header}, now_of(state.core), {},
+                      [&state] { cancel_operations(state); });
     error_code error;
-    std::size_t bytes =
-        co_await state.socket->async_read_some(state.buffer.prepare(first_read_bytes), capture_error(error));
+    std::size_t bytes = co_await state.socket->async_read_some(state.buffer.prepare(first_header_read_bytes),
+                                                               capture_error(error));
     if (error == asio::error::operation_aborted) {
         // On a busy VM, a request may have arrived before the timeout expired.
-        bytes = state.socket->read_some(state.buffer.prepare(first_read_bytes), error);
+        bytes = state.socket->read_some(state.buffer.prepare(first_header_read_bytes), error);
     }
     state.buffer.commit(bytes);
     co_return !error;
@@ -203,7 +210,8 @@
     std::optional<evictable> listed;
     if (is_limited) {
         timeout.emplace(core, state.socket, request.timeout.value_or(default_body_timeout));
-        listed.emplace(core.memory.slow_requests, state.source, now_of(core), held_memory{&reserved},
+        listed.emplace(core.memory.slow_requests, waiting_caller{state.source, caller_stage::body},
+                       now_of(core), held_memory{&reserved},
                        [&state, &timeout] { give_way(state, *timeout, "slow_body"); });
     }
     if (is_limited && request.body_length) {
@@ -385,7 +393,8 @@
         error_code error;
         {
             // Until the caller sends something; the target's own delays do not count.
-            evictable waiting(state.core.memory.slow_requests, state.source, now_of(state.core),
+            evictable waiting(state.core.memory.slow_requests,
+                              waiting_caller{state.source, caller_stage::body}, now_of(state.core),
                               held_memory{&body_memory}, [&state, cancellation] {
                                   state.has_given_way = true;
                                   ++state.core.metrics.connections_refused_by_reason["slow_body"];
@@ -466,9 +475,43 @@
     co_return ok;
 }
 
+// Reads and parses the header. Reserves memory for a long one before its bytes are read; the error is
+// no_memory if there is none.
+asio::awaitable<error_code> read_header_bytes(caller_connection_state& state, request_parser& parser,
+                                              memory_reservation& header_memory) {
+    for (;;) {
+        error_code error;
+        if (state.buffer.size() > 0) {
+            const std::size_t parsed = parser.put(state.buffer.data(), error);
+            state.buffer.consume(parsed);
+            if (error != http::error::need_more) {
+                if (header_memory.size() > 0) {
+                    state.buffer.shrink_to_fit();
+                    header_memory.resize(header_memory.size() / header_memory_factor * parsed_header_factor);
+                }
+                co_return error;
+            }
+        }
+        const std::size_t room = std::clamp(state.buffer.size(), first_header_read_bytes, read_chunk_bytes);
+        const std::size_t needed = header_memory_factor * (state.buffer.size() + room);
+        if (state.buffer.size() + room > short_header_bytes && needed > header_memory.size() &&
+            !reserve_or_evict(header_memory, needed, state.core.memory.slow_requests, state.source,
+                              now_of(state.core))) {
+            co_return asio::error::no_memory;
+        }
+        error = error_code();
+        const std::size_t bytes =
+            co_await state.socket->async_read_some(state.buffer.prepare(room), capture_error(error));
+        state.buffer.commit(bytes);
+        if (error) {
+            co_return error;
+        }
+    }
+}
+
 // Reads the request header, as far as possible.
 asio::awaitable<error_code> read_head(caller_connection_state& state, request_parser& parser,
-                                      caller_request& request) {
+                                      caller_request& request, memory_reservation& header_memory) {
     const caller_limits limits = current_caller_limits(state.core);
     const std::size_t max_header_bytes =
         limits.max_header_bytes + (state.is_from_vm ? relay_header_bytes : 0);
@@ -480,11 +523,12 @@
     error_code error;
     {
         socket_timeout timeout(state.core, state.socket, limits.header_timeout);
-        evictable reading(state.core.memory.slow_requests, state.source, now_of(state.core), {},
+        evictable reading(state.core.memory.slow_requests, waiting_caller{state.source, caller_stage::header},
+                          now_of(state.core), held_memory{&header_memory},
                           [&state, &timeout] { give_way(state, timeout, "slow_header"); });
-        co_await http::async_read_header(*state.socket, state.buffer, parser, capture_error(error));
+        error = co_await read_header_bytes(state, parser, header_memory);
     }
-    request.head = parser.get().base();
+    request.head = std::move(parser.get().base());
     state.is_head_request = request.head.method() == http::verb::head;
     if (!error && has_unknown_transfer_coding(request.head)) {
         error = http::error::bad_transfer_encoding;
@@ -560,10 +604,13 @@
     state.request_deadline = request.received_at;
     state.has_begun_response = false;
     state.request_id.clear();
-    if (const error_code error = co_await read_head(state, parser, request)) {
+    memory_reservation header_memory(state.core.memory, memory_part::request_bodies);
+    const error_code header_error = co_await read_head(state, parser, request, header_memory);
+    if (header_error) {
         parse_caller_headers(state.core, request);
-        co_return co_await end_unread_request(state, request, 11, make_malformed_reply(error), error,
-                                              "header_not_read");
+        const auto reply = header_error == asio::error::no_memory ? make_memory_refusal(state.core)
+                                                                  : make_malformed_reply(header_error);
+        co_return co_await end_unread_request(state, request, 11, reply, header_error, "header_not_read");
     }
     state.keep_alive = parser.get().keep_alive() && is_accepting(state.core);
     state.has_read_body = parser.is_done();
@@ -675,7 +722,8 @@
         co_return;
     }
     const socket_timeout timeout(state.core, state.socket, lingering_close_timeout);
-    evictable closing(state.core.memory.idle_connections, state.source, now_of(state.core), {},
+    evictable closing(state.core.memory.idle_connections,
+                      waiting_caller{state.source, caller_stage::response}, now_of(state.core), {},
                       [&state] { cancel_operations(state); });
     while (!error) {
         co_await state.socket->async_read_some(asio::buffer(discarded), capture_error(error));
--- a/packages/proxy/memory_use.cpp
+++ b/packages/proxy/memory_use.cpp
@@ -12,10 +12,10 @@
     return true;
 }
 
-evictable::evictable(eviction_list& list_in, caller_source source_in, instant now, held_memory held_in,
+evictable::evictable(eviction_list& list_in, const waiting_caller& caller, instant now, held_memory held_in,
                      std::function<void()> evict_in)
-    : list(list_in), progress{source_in, 0, 0, now, now}, held(held_in), evict(std::move(evict_in)),
-      position(list_in.holders.insert(list_in.holders.end(), this)) {}
+    : list(list_in), progress{caller.source, caller.stage, 0, 0, now, now}, held(held_in),
+      evict(std::move(evict_in)), position(list_in.holders.insert(list_in.holders.end(), this)) {}
 
 evictable::~evictable() {
     if (!this->evicted) {
--- a/packages/proxy/memory_use.h
+++ b/packages/proxy/memory_use.h
@@ -38,12 +38,18 @@
     memory_reservation* second = nullptr;
 };
 
+// Whom a VM waits for, and for what.
+struct waiting_caller {
+    caller_source source = 0;
+    caller_stage stage = caller_stage::body;
+};
+
 // Lists a holder for its lifetime.
 class evictable {
 public:
     // `evict_in` is called at most once. It must start the release and return; it must not destroy the object
     // itself. `held_in` must outlive it.
-    evictable(eviction_list& list_in, caller_source source_in, instant now, held_memory held_in,
+    evictable(eviction_list& list_in, const waiting_caller& caller, instant now, held_memory held_in,
               std::function<void()> evict_in);
     ~evictable();
     evictable(const evictable&) = delete;
--- a/test/correctness/eviction_test.cpp
+++ b/test/correctness/eviction_test.cpp
@@ -12,14 +12,16 @@
 
 // A holder that came `age` ago and last made progress `silence` ago.
 caller_holding make_holder(std::size_t amount, milliseconds age, milliseconds silence,
-                           std::uint64_t moved_bytes = 100'000, caller_source source = one) {
-    return {source, amount, moved_bytes, now - age, now - silence};
+                           std::uint64_t moved_bytes = 100'000, caller_source source = one,
+                           caller_stage stage = caller_stage::body) {
+    return {source, stage, amount, moved_bytes, now - age, now - silence};
 }
 
 constexpr milliseconds young{900};
 constexpr milliseconds settled{2000};
 constexpr milliseconds long_time{6000};
 constexpr milliseconds recent{10};
+constexpr auto header = caller_stage::header;
 
 struct eviction_row {
     std::string name;
@@ -90,6 +92,18 @@
       {make_holder(0, settled, settled, 0), make_holder(10, settled, settled, 0)},
       {one, 5, 5},
       {1}},
+     {"a header that is not complete soon gives way",
+      {make_holder(1, milliseconds(300), recent, 0, one, header), make_holder(1, milliseconds(300), recent)},
+      {one, 1, 1},
+      {0}},
+     {"but one that may just be arriving does not",
+      {make_holder(1, milliseconds(200), recent, 0, one, header)},
+      {one, 1, 1},
+      {}},
+     {"no progress goes before an incomplete header",
+      {make_holder(1, milliseconds(300), recent, 0, one, header), make_holder(1, settled, settled, 1)},
+      {one, 1, 1},
+      {1}},
      {"the source that holds the most goes first",
       {make_holder(10, settled, settled, 0, one), make_holder(10, settled, settled, 0, other),
        make_holder(10, settled, settled, 0, other)},
