Bound the memory of a VM whose settings state none

Seen: without memory-mb, 600 callers that stop in bodies of 600 kB took a VM to 330 MB; nothing bounded it.

Cause: no limit, no budget.

Change: the limit is 256 MiB then, or one half of what the machine or the process's own limits allow. All limits of the budget follow from it. The log line of the start shows it.

--- a/packages/policy/memory_budget.cpp
+++ b/packages/policy/memory_budget.cpp
@@ -9,6 +9,11 @@
 constexpr std::size_t kib = 1024;
 constexpr std::size_t mib = kib * kib;
 
+// Limit of a process whose settings state none, and the part of its machine that it does not exceed: the rest
+// is for the system and for other processes. Deployments have machines of 112 to 512 MB.
+constexpr std::size_t default_memory_bytes = 256 * mib;
+constexpr std::size_t default_machine_divisor = 2;
+
 // Resident memory of a VM without callers: 4 MB measured, and 1 MB for a configuration of some hundred
 // targets.
 constexpr std::size_t program_bytes = 5 * mib;
@@ -66,6 +71,14 @@
     return names.at(static_cast<std::size_t>(part));
 }
 
+std::size_t choose_memory_limit(std::size_t configured_bytes, std::size_t machine_bytes) {
+    if (configured_bytes > 0) {
+        return configured_bytes;
+    }
+    return machine_bytes > 0 ? std::min(default_memory_bytes, machine_bytes / default_machine_divisor)
+                             : default_memory_bytes;
+}
+
 std::optional<memory_budget> divide_memory(std::size_t memory_bytes, std::size_t max_descriptors) {
     if (memory_bytes == 0) {
         return std::nullopt;
--- a/packages/policy/memory_budget.h
+++ b/packages/policy/memory_budget.h
@@ -49,6 +49,10 @@
     auto operator<=>(const memory_budget&) const = default;
 };
 
+// Returns how many bytes a process may use: `configured_bytes`, or if that is 0 a default of 256 MiB, on a
+// machine with less than twice that, one half of it. `machine_bytes` is 0 if it is not known.
+[[nodiscard]] std::size_t choose_memory_limit(std::size_t configured_bytes, std::size_t machine_bytes);
+
 // Returns the budget of a process that may use `memory_bytes` and `max_descriptors`, or nullopt if
 // `memory_bytes` is 0: the memory is not limited.
 [[nodiscard]] std::optional<memory_budget> divide_memory(std::size_t memory_bytes,
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -7,6 +7,7 @@
 #include "deadline_list.h"
 #include "fleet_token_bucket.h"
 #include "lookup_tiers.h"
+#include "machine_memory.h"
 #include "memory_use.h"
 #include "mirror_lag.h"
 #include "node_log.h"
@@ -119,12 +120,18 @@
     draining
 };
 
+// Returns how a VM with these settings divides its memory.
+[[nodiscard]] inline std::optional<memory_budget> divide_machine(const node_settings& settings) {
+    return divide_memory(choose_memory_limit(settings.memory_bytes, find_machine_memory()),
+                         settings.max_open_files);
+}
+
 // The state of the VM. Not copyable; all modules hold references to it.
 struct node_core {
     node_core(const clock& time_in, node_settings settings_in, const platform_adapter& platform_in,
               node_log& log_in)
         : clock_source(time_in), settings(std::move(settings_in)), platform(platform_in), log(log_in) {
-        this->memory.budget = divide_memory(this->settings.memory_bytes, this->settings.max_open_files);
+        this->memory.budget = divide_machine(this->settings);
     }
 
     const clock& clock_source;
--- a/packages/proxy/node_settings.h
+++ b/packages/proxy/node_settings.h
@@ -57,7 +57,7 @@
     // CPU share of the VM in thousandths of a core; 0 if the platform does not provide it.
     std::uint32_t cpu_millicores = 0;
     // Memory that the process may use, bytes, with what the kernel has received for it; 0 if the platform
-    // does not limit it.
+    // states no limit, see choose_memory_limit().
     std::size_t memory_bytes = 0;
     // Maximum number of open file descriptors of the process.
     std::size_t max_open_files = 1024;
--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -214,8 +214,7 @@
             return;
         }
         const bool needs_restart = apply_reloaded_settings(this->core.settings, *loaded);
-        this->core.memory.budget =
-            divide_memory(this->core.settings.memory_bytes, this->core.settings.max_open_files);
+        this->core.memory.budget = divide_machine(this->core.settings);
         this->core.log.write(now, node_event::settings_reloaded,
                              log_fields().add("outcome", "applied").add("needs_restart", needs_restart));
     }
@@ -323,11 +322,13 @@
     if (auto opened = node.open(); !opened) {
         return opened;
     }
-    log.write(now_of(core), node_event::started,
-              log_fields()
-                  .add("callers", format_address(settings.caller_address))
-                  .add("zone", settings.availability_zone)
-                  .add("region", settings.region));
+    log.write(
+        now_of(core), node_event::started,
+        log_fields()
+            .add("callers", format_address(settings.caller_address))
+            .add("zone", settings.availability_zone)
+            .add("region", settings.region)
+            .add("memory_limit_bytes", choose_memory_limit(settings.memory_bytes, find_machine_memory())));
     node.start();
     core.context.run();
     core.targets.close_idle_connections();
--- a/test/correctness/memory_budget_test.cpp
+++ b/test/correctness/memory_budget_test.cpp
@@ -63,6 +63,24 @@
                                     {"of an exceeded part", 8 * mib, 9 * mib, 512 * kib, 0}},
                                    check_share);
 
+struct limit_row {
+    std::string name;
+    std::size_t configured_bytes;
+    std::size_t machine_bytes;
+    std::size_t expected;
+};
+
+void check_limit(const limit_row& row) {
+    CPPUNIT_ASSERT_EQUAL(row.expected, choose_memory_limit(row.configured_bytes, row.machine_bytes));
+}
+
+const test_table<limit_row> limits("memory_budget limit",
+                                   {{"as the settings say", 112 * mib, 64 * mib, 112 * mib},
+                                    {"of a large machine", 0, 8192 * mib, 256 * mib},
+                                    {"of a small machine", 0, 160 * mib, 80 * mib},
+                                    {"of an unknown machine", 0, 0, 256 * mib}},
+                                   check_limit);
+
 struct usable_row {
     std::string name;
     std::size_t body_bytes;
