Share the replies to peers that ask for the same changes

Seen: 150 connections at the listener for store changes, each of which asks four times for all items (200 kB) and reads nothing, made a VM of 20 MB fill 109 MB of send queues.

Cause: each request was answered with a copy of its own, which was then copied once more into one output; each waiting connection also held a buffer of 16 kB for its next read.

Change: a reply is shared by all who ask for the same changes while it is being sent, it is taken out of the session in pieces of 16 kB, and one buffer serves all reads. Send queues are bounded since.

--- a/packages/h2/h2_session.cpp
+++ b/packages/h2/h2_session.cpp
@@ -65,10 +65,13 @@
                              std::size_t size, std::uint32_t* flags, nghttp2_data_source* /*source*/,
                              void* owner) {
         stream_state& state = static_cast<h2_session*>(owner)->streams[stream];
-        const std::size_t count = std::min(size, state.outgoing.size() - state.sent);
-        std::copy_n(state.outgoing.data() + state.sent, count, buffer);
+        const std::size_t total = state.outgoing ? state.outgoing->size() : 0;
+        const std::size_t count = std::min(size, total - state.sent);
+        if (count > 0) {
+            std::copy_n(state.outgoing->data() + state.sent, count, buffer);
+        }
         state.sent += count;
-        if (state.sent == state.outgoing.size()) {
+        if (state.sent == total) {
             *flags |= NGHTTP2_DATA_FLAG_EOF;
         }
         return static_cast<ssize_t>(count);
@@ -131,26 +134,31 @@
     const std::int32_t stream =
         nghttp2_submit_request(this->session, nullptr, headers.data(), headers.size(), &provider, nullptr);
     if (stream >= 0) {
-        this->streams[stream].outgoing = std::move(message.body);
+        this->streams[stream].outgoing = std::make_shared<const std::string>(std::move(message.body));
     }
     return stream;
 }
 
 bool h2_session::submit_reply(std::int32_t stream, peer_message message) {
+    return this->submit_reply(stream, message.code,
+                              std::make_shared<const std::string>(std::move(message.body)));
+}
+
+bool h2_session::submit_reply(std::int32_t stream, std::string_view code,
+                              std::shared_ptr<const std::string> body) {
     if (this->streams.count(stream) == 0) {
         return false;
     }
-    const std::array<nghttp2_nv, 2> headers{make_header(":status", "200"),
-                                            make_header(code_header, message.code)};
-    this->streams[stream].outgoing = std::move(message.body);
+    const std::array<nghttp2_nv, 2> headers{make_header(":status", "200"), make_header(code_header, code)};
+    this->streams[stream].outgoing = std::move(body);
     nghttp2_data_provider provider{{}, callbacks::read_body};
     return nghttp2_submit_response(this->session, stream, headers.data(), headers.size(), &provider) == 0;
 }
 
-std::string h2_session::take_output() {
+std::string h2_session::take_output(std::size_t enough) {
     std::string output;
     const std::uint8_t* bytes = nullptr;
-    for (ssize_t size = 1; size > 0;) {
+    for (ssize_t size = 1; size > 0 && output.size() < enough;) {
         size = nghttp2_session_mem_send(this->session, &bytes);
         if (size > 0) {
             output.append(reinterpret_cast<const char*>(bytes), static_cast<std::size_t>(size));
--- a/packages/h2/h2_session.h
+++ b/packages/h2/h2_session.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -51,13 +52,16 @@
     [[nodiscard]] std::int32_t submit_request(peer_message message);
     // Answers the request of a stream; false when the stream is gone.
     bool submit_reply(std::int32_t stream, peer_message message);
-    // Returns bytes to send, taken out of the session.
-    [[nodiscard]] std::string take_output();
+    // The same with a body that several streams share.
+    bool submit_reply(std::int32_t stream, std::string_view code, std::shared_ptr<const std::string> body);
+    // Returns bytes to send, taken out of the session: all that may be sent now, or at least `enough` bytes
+    // and at most one frame more.
+    [[nodiscard]] std::string take_output(std::size_t enough = std::numeric_limits<std::size_t>::max());
 
 private:
     struct stream_state {
         peer_message incoming;
-        std::string outgoing;
+        std::shared_ptr<const std::string> outgoing;
         std::size_t sent = 0;
     };
     struct callbacks;
--- a/packages/proxy/store_sync.cpp
+++ b/packages/proxy/store_sync.cpp
@@ -32,18 +32,36 @@
 // Limit of a reply. It holds all items of the store if the requesting VM has none of them.
 constexpr std::size_t max_reply_bytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
+// Bytes of replies that are taken out of a session at a time.
+constexpr std::size_t output_chunk_bytes = std::size_t{16} * 1024;
 // An incoming connection is closed after this time, idle or not. A peer opens only a few streams on one.
 constexpr milliseconds connection_time_limit{20'000};
 
+// The last reply to a peer, for others that ask for the same changes while it is being sent.
+struct shared_reply {
+    store_position mirror_position;
+    store_position requested;
+    std::weak_ptr<const std::string> text;
+};
+
 // Returns the serialized reply to a serialized request. A request that cannot be parsed gets all changes.
 // While the mirror is not verified, the reply is empty and thereby not newer than any mirror.
-std::string serialize_changes_reply(const node_core& core, const std::string& serialized_request) {
+std::shared_ptr<const std::string> serialize_changes_reply(const node_core& core, shared_reply& last,
+                                                           const std::string& serialized_request) {
     schema::StoreChangesRequest request;
     const bool is_valid = request.ParseFromString(serialized_request);
     const store_position position =
         is_valid ? store_position{request.epoch(), request.revision()} : store_position{};
-    return core.mirror_is_verified ? make_changes_reply(core.mirror, position).SerializeAsString()
-                                   : std::string();
+    if (!core.mirror_is_verified) {
+        return std::make_shared<const std::string>();
+    }
+    auto text = last.text.lock();
+    if (!text || last.mirror_position != core.mirror.position || last.requested != position) {
+        text = std::make_shared<const std::string>(
+            make_changes_reply(core.mirror, position).SerializeAsString());
+        last = {core.mirror.position, position, text};
+    }
+    return text;
 }
 
 // Returns the position whose later changes are to be requested from a peer: zero for all changes, if the
@@ -64,38 +82,52 @@
 
 // Writes the session's pending output. Returns false if the connection failed.
 asio::awaitable<bool> send_output(tcp::socket& socket, h2_session& session) {
-    const std::string output = session.take_output();
-    std::size_t sent = 0;
-    while (sent < output.size()) {
-        error_code error;
-        sent += co_await socket.async_write_some(asio::buffer(output.data() + sent, output.size() - sent),
-                                                 capture_error(error));
-        if (error) {
-            co_return false;
+    for (;;) {
+        const std::string output = session.take_output(output_chunk_bytes);
+        if (output.empty()) {
+            co_return true;
+        }
+        std::size_t sent = 0;
+        while (sent < output.size()) {
+            error_code error;
+            const std::size_t written = co_await socket.async_write_some(
+                asio::buffer(output.data() + sent, output.size() - sent), capture_error(error));
+            if (error) {
+                co_return false;
+            }
+            sent += written;
         }
     }
-    co_return true;
 }
 
 // Reads once from the socket and passes the bytes to the session. Returns their number; 0 if the connection
 // failed or the peer violated the protocol.
 asio::awaitable<std::size_t> receive_input(tcp::socket& socket, h2_session& session) {
-    std::array<char, read_chunk_bytes>
-        chunk; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by the read
-    error_code error;
-    const std::size_t count = co_await socket.async_read_some(asio::buffer(chunk), capture_error(error));
+    // One buffer for all connections: none holds it while it waits.
+    static std::array<char, read_chunk_bytes> chunk;
+    error_code error = asio::error::would_block;
+    std::size_t count = 0;
+    socket.non_blocking(true);
+    while (error == asio::error::would_block) {
+        co_await socket.async_wait(tcp::socket::wait_read, capture_error(error));
+        if (!error) {
+            count = socket.read_some(asio::buffer(chunk), error);
+        }
+    }
     const bool is_ok = !error && session.receive({chunk.data(), count});
     co_return is_ok ? count : 0;
 }
 
 // Serves requests on one connection until it fails or times out.
-asio::awaitable<void> serve_peer(node_core& core, std::shared_ptr<tcp::socket> socket) {
+asio::awaitable<void> serve_peer(node_core& core, std::shared_ptr<shared_reply> last_reply,
+                                 std::shared_ptr<tcp::socket> socket) {
     set_tcp_options(*socket, peer_socket_timeout);
     std::unique_ptr<h2_session> session;
     session = h2_session::make_server(
-        [&core, &session](std::int32_t stream, const peer_message& request) {
+        [&core, &session, &last_reply](std::int32_t stream, const peer_message& request) {
             if (request.code == changes_code) {
-                session->submit_reply(stream, {changes_code, serialize_changes_reply(core, request.body)});
+                session->submit_reply(stream, changes_code,
+                                      serialize_changes_reply(core, *last_reply, request.body));
             }
         },
         max_request_bytes, max_open_requests);
@@ -295,9 +327,11 @@
 }
 
 asio::awaitable<void> serve_store_sync(node_core& core, tcp::acceptor& acceptor) {
-    return accept_connections(core, acceptor, [&core](std::shared_ptr<tcp::socket> socket) {
-        return serve_peer(core, std::move(socket));
-    });
+    auto last_reply = std::make_shared<shared_reply>();
+    return accept_connections(
+        core, acceptor, [&core, last_reply = std::move(last_reply)](std::shared_ptr<tcp::socket> socket) {
+            return serve_peer(core, last_reply, std::move(socket));
+        });
 }
 
 asio::awaitable<void> pull_store_changes(node_core& core) {
