Bound the connections at the listeners for other VMs

Seen: 900 connections at the listener for relayed requests or for store changes took 911 and 913 sockets of a VM that may use 800, and 22 MB of its 20.

Cause: only VMs were thought to reach these listeners. Connections for relayed requests also counted as those of callers, so that a crowd there would have kept callers out.

Change: each of the two takes one eighth of the sockets and 32 kB a connection of the part for peers, at the most. Whoever waits for a request for longest gives way, then whoever takes nothing of its reply. Relayed requests are counted apart from callers. A connection for relayed requests without a VM's key is closed after its 403.

--- a/packages/policy/memory_budget.cpp
+++ b/packages/policy/memory_budget.cpp
@@ -27,9 +27,15 @@
 constexpr std::size_t file_descriptors = 200;
 constexpr std::size_t caller_divisor = 2;
 // Part of the sockets of each listener for readiness checks, lookups and metrics. The three of them leave
-// five sixteenths of the sockets to targets, peers and the store.
+// five sixteenths of the sockets to peers, targets and the store.
 constexpr std::size_t listener_divisor = 16;
 
+// The same for each of the two listeners for other VMs, whose connections are bounded by the part for peers
+// as well. One sixteenth is left to targets and the store then; without crowds at listeners, they get more.
+constexpr std::size_t peer_listener_divisor = 8;
+// Memory of a peer's connection: an HTTP/2 session, and the frames that are being sent.
+constexpr std::size_t peer_connection_bytes = 32 * kib;
+
 // Memory of a connection without the kernel's buffers: coroutine frames, timers and an unparsed header.
 constexpr std::size_t connection_bytes_own = 8 * kib;
 // Memory of a request at a target without its body and response: both connections, headers and frames.
@@ -103,6 +109,10 @@
     // A VM that serves no caller at all would be useless, whatever its limits.
     budget.max_caller_connections = std::max<std::size_t>(1, std::min(by_memory, sockets / caller_divisor));
     budget.max_listener_connections = std::max<std::size_t>(1, sockets / listener_divisor);
+    const std::size_t peers_by_memory =
+        budget.parts.at(static_cast<std::size_t>(memory_part::peers)) / peer_connection_bytes;
+    budget.max_peer_connections =
+        std::max<std::size_t>(1, std::min(peers_by_memory, sockets / peer_listener_divisor));
     return budget;
 }
 
--- a/packages/policy/memory_budget.h
+++ b/packages/policy/memory_budget.h
@@ -37,6 +37,9 @@
     std::size_t max_caller_connections = 0;
     // Largest number of connections at each listener for readiness checks, lookups and metrics.
     std::size_t max_listener_connections = 0;
+    // Largest number of connections at each listener for other VMs: for store changes and for relayed
+    // requests.
+    std::size_t max_peer_connections = 0;
     // Reserved in the part for connections for each of callers' connections.
     std::size_t connection_bytes = 0;
     // Reserved in the part for responses for each request at a target.
--- a/packages/proxy/accept_loop.cpp
+++ b/packages/proxy/accept_loop.cpp
@@ -46,6 +46,16 @@
     };
 }
 
+bool admit_peer_connection(node_core& core, peer_connections& connections, caller_source source) {
+    const auto& budget = core.memory.budget;
+    if (budget && connections.open >= budget->max_peer_connections) {
+        ++core.metrics.connections_refused_by_reason["peer"];
+        core.log.write(now_of(core), node_event::connection_closed,
+                       log_fields().add("reason", "peer").add("open", connections.open));
+    }
+    return admit_peer(core.memory, connections, source, now_of(core));
+}
+
 asio::awaitable<void> accept_connections(node_core& core, tcp::acceptor& acceptor,
                                          connection_handler handler) {
     for (;;) {
--- a/packages/proxy/accept_loop.h
+++ b/packages/proxy/accept_loop.h
@@ -22,4 +22,9 @@
 // ones are counted in the metrics and logged.
 connection_handler limit_connections(node_core& core, connection_handler handler);
 
+// Returns whether a further connection may be served at a listener for other VMs; see admit_peer(). Where the
+// limit is reached, counts and logs it.
+[[nodiscard]] bool admit_peer_connection(node_core& core, peer_connections& connections,
+                                         caller_source source);
+
 } // namespace cassiaspan
--- a/packages/proxy/caller_responses.cpp
+++ b/packages/proxy/caller_responses.cpp
@@ -45,8 +45,8 @@
 // Lists a connection whose caller is to take bytes of a response, for the lifetime of the returned object.
 std::unique_ptr<evictable> list_slow_reader(caller_connection_state& state) {
     return std::make_unique<evictable>(state.core.memory.slow_readers,
-                                       waiting_caller{state.source, caller_stage::response},
-                                       now_of(state.core), held_memory{state.request_memory}, [&state] {
+                                       waiting_of(state, caller_stage::response), now_of(state.core),
+                                       held_memory{state.request_memory}, [&state] {
                                            error_code ignored;
                                            state.has_given_way = true;
                                            ++state.core.metrics.connections_refused_by_reason["slow_reader"];
@@ -110,15 +110,15 @@
 // a coroutine of their own, so that the target's response is read on meanwhile. That coroutine may end after
 // the request and its connection state.
 struct response_queue {
-    response_queue(node_core& core_in, std::shared_ptr<tcp::socket> socket_in, caller_source source_in,
-                   instant deadline)
-        : core(core_in), socket(std::move(socket_in)), source(source_in), request_deadline(deadline),
+    response_queue(node_core& core_in, std::shared_ptr<tcp::socket> socket_in,
+                   const waiting_caller& caller_in, instant deadline)
+        : core(core_in), socket(std::move(socket_in)), caller(caller_in), request_deadline(deadline),
           changed(core_in.context), reserved(core_in.memory, memory_part::responses) {
         this->changed.expires_at(asio::steady_timer::time_point::max());
     }
     node_core& core;
     std::shared_ptr<tcp::socket> socket;
-    caller_source source;
+    waiting_caller caller;
     instant request_deadline;
     http::response<http::buffer_body> message;
     std::unique_ptr<http::response_serializer<http::buffer_body>> serializer;
@@ -177,8 +177,7 @@
 // memory is needed for others. Returns false if the connection failed or was closed.
 asio::awaitable<bool> wait_for_queue(response_queue_ptr queue, std::size_t limit,
                                      memory_reservation* request_memory) {
-    evictable slow_reader(queue->core.memory.slow_readers,
-                          waiting_caller{queue->source, caller_stage::response}, now_of(queue->core),
+    evictable slow_reader(queue->core.memory.slow_readers, queue->caller, now_of(queue->core),
                           held_memory{&queue->reserved, request_memory}, [&slow = *queue] {
                               error_code ignored;
                               slow.error = asio::error::timed_out;
@@ -205,7 +204,8 @@
 
     asio::awaitable<bool> begin(const http::response_header<>& head, std::optional<std::uint64_t> length) {
         this->queue = std::make_shared<response_queue>(this->state.core, this->state.socket,
-                                                       this->state.source, this->state.request_deadline);
+                                                       waiting_of(this->state, caller_stage::response),
+                                                       this->state.request_deadline);
         auto& message = this->queue->message;
         message.base() = copy_head(head, this->version);
         message.erase(http::field::content_length);
--- a/packages/proxy/caller_responses.h
+++ b/packages/proxy/caller_responses.h
@@ -47,6 +47,11 @@
     bool has_given_way = false;
 };
 
+// Returns whom an eviction_list is to hold while the VM waits for the caller.
+[[nodiscard]] inline waiting_caller waiting_of(const caller_connection_state& state, caller_stage stage) {
+    return {state.source, stage, state.is_from_vm};
+}
+
 // Returns the limits on requests and connections of callers: those of the configuration, or the defaults if
 // there is none yet.
 [[nodiscard]] caller_limits current_caller_limits(const node_core& core);
--- a/packages/proxy/caller_session.cpp
+++ b/packages/proxy/caller_session.cpp
@@ -8,6 +8,7 @@
 #include "relay.h"
 #include "request_plan.h"
 #include "retry_after.h"
+#include "scoped_count.h"
 
 #include <algorithm>
 #include <array>
@@ -56,23 +57,10 @@
 constexpr milliseconds lingering_close_timeout{500};
 // Room for the headers that a peer adds to a request.
 constexpr std::size_t relay_header_bytes = 1024;
+constexpr unsigned status_forbidden = 403;
 // Lowest HTTP status that is logged as a failure of the VM or a target; 503 is logged as a refusal.
 constexpr unsigned first_server_error_status = 500;
 
-// Increments a counter for its lifetime, also if an exception ends it.
-class scoped_count {
-public:
-    explicit scoped_count(std::size_t& counter_in) : counter(counter_in) { ++this->counter; }
-    ~scoped_count() { --this->counter; }
-    scoped_count(const scoped_count&) = delete;
-    scoped_count& operator=(const scoped_count&) = delete;
-    scoped_count(scoped_count&&) = delete;
-    scoped_count& operator=(scoped_count&&) = delete;
-
-private:
-    std::size_t& counter;
-};
-
 // Lists a request's cancellation in the VM's state for its lifetime.
 class scoped_cancellation {
 public:
@@ -105,6 +93,16 @@
     wait.expire();
 }
 
+// Returns the list of a connection that waits for a request.
+eviction_list& list_between_requests(caller_connection_state& state) {
+    memory_use& memory = state.core.memory;
+    if (state.is_from_vm) {
+        return memory.relays.idle;
+    }
+    // A caller that has just connected is about to send its first request.
+    return state.idle_timeout ? memory.idle_connections : memory.slow_requests;
+}
+
 // Waits for the first bytes of a request. Returns false if the connection ended or was idle for too long.
 asio::awaitable<bool> wait_for_request(caller_connection_state& state) {
     if (state.buffer.size() > 0) {
@@ -112,11 +110,8 @@
     }
     const socket_timeout timeout(state.core, state.socket,
                                  state.idle_timeout.value_or(current_caller_limits(state.core).idle_timeout));
-    // A caller that has just connected is about to send its first request.
-    const bool is_first = !state.idle_timeout;
-    evictable waiting(is_first ? state.core.memory.slow_requests : state.core.memory.idle_connections,
-                      waiting_caller{state.source, caller_stage::header}, now_of(state.core), {},
-                      [&state] { cancel_operations(state); });
+    evictable waiting(list_between_requests(state), waiting_of(state, caller_stage::header),
+                      now_of(state.core), {}, [&state] { cancel_operations(state); });
     error_code error;
     std::size_t bytes = co_await state.socket->async_read_some(state.buffer.prepare(first_header_read_bytes),
                                                                capture_error(error));
@@ -210,8 +205,8 @@
     std::optional<evictable> listed;
     if (is_limited) {
         timeout.emplace(core, state.socket, request.timeout.value_or(default_body_timeout));
-        listed.emplace(core.memory.slow_requests, waiting_caller{state.source, caller_stage::body},
-                       now_of(core), held_memory{&reserved},
+        listed.emplace(core.memory.slow_requests, waiting_of(state, caller_stage::body), now_of(core),
+                       held_memory{&reserved},
                        [&state, &timeout] { give_way(state, *timeout, "slow_body"); });
     }
     if (is_limited && request.body_length) {
@@ -393,9 +388,8 @@
         error_code error;
         {
             // Until the caller sends something; the target's own delays do not count.
-            evictable waiting(state.core.memory.slow_requests,
-                              waiting_caller{state.source, caller_stage::body}, now_of(state.core),
-                              held_memory{&body_memory}, [&state, cancellation] {
+            evictable waiting(state.core.memory.slow_requests, waiting_of(state, caller_stage::body),
+                              now_of(state.core), held_memory{&body_memory}, [&state, cancellation] {
                                   state.has_given_way = true;
                                   ++state.core.metrics.connections_refused_by_reason["slow_body"];
                                   cancel_on_timeout(*cancellation);
@@ -523,8 +517,10 @@
     error_code error;
     {
         socket_timeout timeout(state.core, state.socket, limits.header_timeout);
-        evictable reading(state.core.memory.slow_requests, waiting_caller{state.source, caller_stage::header},
-                          now_of(state.core), held_memory{&header_memory},
+        memory_use& memory = state.core.memory;
+        evictable reading(state.is_from_vm ? memory.relays.idle : memory.slow_requests,
+                          waiting_of(state, caller_stage::header), now_of(state.core),
+                          held_memory{&header_memory},
                           [&state, &timeout] { give_way(state, timeout, "slow_header"); });
         error = co_await read_header_bytes(state, parser, header_memory);
     }
@@ -616,6 +612,8 @@
     state.has_read_body = parser.is_done();
     parse_caller_headers(state.core, request);
     if (const auto accepted = read_relay_headers(state, request); !accepted) {
+        // What is no VM gets one reply.
+        state.keep_alive = state.keep_alive && accepted.error().status != status_forbidden;
         co_return co_await end_refused_request(state, request, accepted.error());
     }
     std::optional<scoped_count> relayed;
@@ -722,8 +720,9 @@
         co_return;
     }
     const socket_timeout timeout(state.core, state.socket, lingering_close_timeout);
-    evictable closing(state.core.memory.idle_connections,
-                      waiting_caller{state.source, caller_stage::response}, now_of(state.core), {},
+    memory_use& memory = state.core.memory;
+    evictable closing(state.is_from_vm ? memory.relays.idle : memory.idle_connections,
+                      waiting_of(state, caller_stage::response), now_of(state.core), {},
                       [&state] { cancel_operations(state); });
     while (!error) {
         co_await state.socket->async_read_some(asio::buffer(discarded), capture_error(error));
@@ -754,7 +753,8 @@
 // Serves requests until the connection ends.
 asio::awaitable<void> serve_connection(caller_connection_state& state) {
     node_core& core = state.core;
-    const scoped_count open_connection(core.open_caller_connections);
+    const scoped_count open_connection(state.is_from_vm ? core.memory.relays.open
+                                                        : core.open_caller_connections);
     memory_reservation reserved(core.memory,
                                 state.is_from_vm ? memory_part::peers : memory_part::connections);
     reserved.resize(core.memory.budget ? core.memory.budget->connection_bytes : 0);
@@ -795,7 +795,9 @@
 asio::awaitable<void> serve_relay_connection(node_core& core, std::shared_ptr<tcp::socket> socket) {
     caller_connection_state state(core, std::move(socket));
     state.is_from_vm = true;
-    co_await serve_connection(state);
+    if (admit_peer_connection(core, core.memory.relays, state.source)) {
+        co_await serve_connection(state);
+    }
 }
 
 asio::awaitable<void> accept_callers(node_core& core, tcp::acceptor& acceptor) {
--- a/packages/proxy/memory_use.cpp
+++ b/packages/proxy/memory_use.cpp
@@ -14,8 +14,9 @@
 
 evictable::evictable(eviction_list& list_in, const waiting_caller& caller, instant now, held_memory held_in,
                      std::function<void()> evict_in)
-    : list(list_in), progress{caller.source, caller.stage, 0, 0, now, now}, held(held_in),
-      evict(std::move(evict_in)), position(list_in.holders.insert(list_in.holders.end(), this)) {}
+    : list(list_in), progress{caller.source, caller.stage, 0, 0, now, now}, is_vm(caller.is_vm),
+      held(held_in), evict(std::move(evict_in)),
+      position(list_in.holders.insert(list_in.holders.end(), this)) {}
 
 evictable::~evictable() {
     if (!this->evicted) {
@@ -80,7 +81,7 @@
 // One decision on who gives way.
 class eviction_round {
 public:
-    // Adds the list's holders with the bytes that they would release, or each with one connection.
+    // Add the list's holders with the bytes that they would release, or each with one connection.
     void add_memory(const eviction_list& list, const memory_reservation& except) {
         for (evictable* holder : list.holders) {
             const auto [first, second] = holder->held;
@@ -90,7 +91,14 @@
             }
         }
     }
-    void add_connections(const eviction_list& list) {
+    void add_callers(const eviction_list& list) {
+        for (evictable* holder : list.holders) {
+            if (!holder->is_vm) {
+                this->add(holder, 1);
+            }
+        }
+    }
+    void add_vms(const eviction_list& list) {
         for (evictable* holder : list.holders) {
             this->add(holder, 1);
         }
@@ -132,8 +140,18 @@
 
 bool evict_connection(memory_use& memory, caller_source source, instant now) {
     eviction_round round;
-    round.add_connections(memory.slow_requests);
-    round.add_connections(memory.slow_readers);
+    round.add_callers(memory.slow_requests);
+    round.add_callers(memory.slow_readers);
+    return round.run({source, 1, 1}, now);
+}
+
+bool admit_peer(const memory_use& memory, peer_connections& connections, caller_source source, instant now) {
+    if (!memory.budget || connections.open < memory.budget->max_peer_connections ||
+        connections.idle.evict_oldest(now, milliseconds(0))) {
+        return true;
+    }
+    eviction_round round;
+    round.add_vms(connections.slow_readers);
     return round.run({source, 1, 1}, now);
 }
 
--- a/packages/proxy/memory_use.h
+++ b/packages/proxy/memory_use.h
@@ -42,6 +42,8 @@
 struct waiting_caller {
     caller_source source = 0;
     caller_stage stage = caller_stage::body;
+    // Whether it is a VM, which takes no caller's connection.
+    bool is_vm = false;
 };
 
 // Lists a holder for its lifetime.
@@ -69,12 +71,21 @@
     eviction_list& list;
     // Without the amount, which depends on what is short.
     caller_holding progress;
+    bool is_vm;
     held_memory held;
     std::function<void()> evict;
     std::list<evictable*>::iterator position;
     bool evicted = false;
 };
 
+// The connections at a listener for other VMs.
+struct peer_connections {
+    std::size_t open = 0;
+    // Those that wait for a request, and those whose reply is being taken.
+    eviction_list idle;
+    eviction_list slow_readers;
+};
+
 // State of one VM.
 struct memory_use {
     // Unset if the settings do not limit the memory.
@@ -87,6 +98,8 @@
     eviction_list slow_requests;
     // Responses that are being written.
     eviction_list slow_readers;
+    peer_connections relays;
+    peer_connections store_readers;
 };
 
 // Returns the size of a part and the reserved bytes.
@@ -141,4 +154,9 @@
 // Returns false if there is none that has to give way to `source`.
 [[nodiscard]] bool evict_connection(memory_use& memory, caller_source source, instant now);
 
+// Returns whether a further connection may be opened at a listener for other VMs. If there are too many,
+// closes the one that has waited for a request for longest, or else one that takes its reply slowly.
+[[nodiscard]] bool admit_peer(const memory_use& memory, peer_connections& connections, caller_source source,
+                              instant now);
+
 } // namespace cassiaspan
--- a/packages/proxy/store_sync.cpp
+++ b/packages/proxy/store_sync.cpp
@@ -6,6 +6,7 @@
 #include "fleet_hubs.h"
 #include "h2_session.h"
 #include "pull_pacing.h"
+#include "scoped_count.h"
 #include "socket_timeout.h"
 
 #include <algorithm>
@@ -80,8 +81,10 @@
     return request.SerializeAsString();
 }
 
-// Writes the session's pending output. Returns false if the connection failed.
-asio::awaitable<bool> send_output(tcp::socket& socket, h2_session& session) {
+// Writes the session's pending output. Records the progress in `listed` unless that is null. Returns false if
+// the connection failed.
+asio::awaitable<bool> send_output(const node_core& core, tcp::socket& socket, h2_session& session,
+                                  evictable* listed = nullptr) {
     for (;;) {
         const std::string output = session.take_output(output_chunk_bytes);
         if (output.empty()) {
@@ -96,6 +99,9 @@
                 co_return false;
             }
             sent += written;
+            if (listed != nullptr) {
+                listed->record_progress(written, now_of(core));
+            }
         }
     }
 }
@@ -118,9 +124,15 @@
     co_return is_ok ? count : 0;
 }
 
-// Serves requests on one connection until it fails or times out.
+// Serves requests on one connection until it fails, times out or gives way to others.
 asio::awaitable<void> serve_peer(node_core& core, std::shared_ptr<shared_reply> last_reply,
                                  std::shared_ptr<tcp::socket> socket) {
+    peer_connections& connections = core.memory.store_readers;
+    const waiting_caller peer{remote_address(*socket), caller_stage::response, true};
+    if (!admit_peer_connection(core, connections, peer.source)) {
+        co_return;
+    }
+    const scoped_count open_connection(connections.open);
     set_tcp_options(*socket, peer_socket_timeout);
     std::unique_ptr<h2_session> session;
     session = h2_session::make_server(
@@ -132,12 +144,21 @@
         },
         max_request_bytes, max_open_requests);
     const socket_timeout timeout(core, socket, connection_time_limit);
+    const auto close = [&socket] {
+        error_code ignored;
+        socket->close(ignored);
+    };
     bool is_ok = true;
     while (is_ok) {
-        const std::size_t count = co_await receive_input(*socket, *session);
+        std::size_t count = 0;
+        {
+            const evictable waiting(connections.idle, peer, now_of(core), {}, close);
+            count = co_await receive_input(*socket, *session);
+        }
         is_ok = count > 0;
         if (is_ok) {
-            is_ok = co_await send_output(*socket, *session);
+            evictable writing(connections.slow_readers, peer, now_of(core), {}, close);
+            is_ok = co_await send_output(core, *socket, *session, &writing);
         }
     }
 }
@@ -254,7 +275,7 @@
     while (is_ok && !reply) {
         pull.last_progress = now_of(core);
         timeout.emplace(core, pull.socket, pull_timeout);
-        is_ok = co_await send_output(*pull.socket, *session);
+        is_ok = co_await send_output(core, *pull.socket, *session);
         if (is_ok) {
             const std::size_t count = co_await receive_input(*pull.socket, *session);
             pull.received_bytes += count;
