Let an abandoned pull of store changes end without an exception

Cause: since replies are read into a shared buffer, a pull whose socket was closed meanwhile would have thrown where the socket is made non-blocking. Found by reading; the wait that follows reports the closed socket.

--- a/packages/proxy/store_sync.cpp
+++ b/packages/proxy/store_sync.cpp
@@ -113,7 +113,9 @@
     static std::array<char, read_chunk_bytes> chunk;
     error_code error = asio::error::would_block;
     std::size_t count = 0;
-    socket.non_blocking(true);
+    error_code ignored;
+    // Fails for a pull that was abandoned meanwhile; so does the wait.
+    socket.non_blocking(true, ignored);
     while (error == asio::error::would_block) {
         co_await socket.async_wait(tcp::socket::wait_read, capture_error(error));
         if (!error) {
