Choose the few callers that give way without sorting all

Cause: while all places are taken, each new connection asks for a decision among up to 2,000 holders; sorting them costs more than the rest of it.

Change: a heap of the candidates, of which as many are taken as are needed. The result is the same: 'evictions' 23 passed.

--- a/packages/policy/eviction.cpp
+++ b/packages/policy/eviction.cpp
@@ -73,12 +73,13 @@
     std::size_t index;
 };
 
-bool gives_way_before(const eviction_candidate& first, const eviction_candidate& second) {
+// An order for a heap, whose first element is the one that gives way first.
+bool gives_way_after(const eviction_candidate& first, const eviction_candidate& second) {
     const auto key = [](const eviction_candidate& each) {
         return std::tie(each.reason, each.source_rest, each.amount_rest, each.bytes_per_second, each.since,
                         each.index);
     };
-    return key(first) < key(second);
+    return key(second) < key(first);
 }
 
 } // namespace
@@ -105,15 +106,15 @@
                                   total - holder.amount, holder.since, i});
         }
     }
-    std::sort(candidates.begin(), candidates.end(), gives_way_before);
+    // Few of many are chosen, so that they need not all be sorted.
+    std::make_heap(candidates.begin(), candidates.end(), gives_way_after);
     std::vector<std::size_t> chosen;
     std::size_t freed = 0;
-    for (const eviction_candidate& each : candidates) {
-        if (freed >= arriving.missing) {
-            break;
-        }
-        freed += holders[each.index].amount;
-        chosen.push_back(each.index);
+    while (freed < arriving.missing && !candidates.empty()) {
+        std::pop_heap(candidates.begin(), candidates.end(), gives_way_after);
+        freed += holders[candidates.back().index].amount;
+        chosen.push_back(candidates.back().index);
+        candidates.pop_back();
     }
     if (freed < arriving.missing) {
         chosen.clear();
