Share replies to peers by their bytes

Cause: a reply was shared while the position of the mirror and the one that was asked for were the same. Items of an earlier epoch are removed without a new position, so that a peer could have got them up to 20 s later, as long as one other peer takes the reply slowly. Found by reading.

Change: a reply is made for each request, as before, and shared if it equals the one that is being sent.

--- a/packages/proxy/store_sync.cpp
+++ b/packages/proxy/store_sync.cpp
@@ -38,10 +38,8 @@
 // An incoming connection is closed after this time, idle or not. A peer opens only a few streams on one.
 constexpr milliseconds connection_time_limit{20'000};
 
-// The last reply to a peer, for others that ask for the same changes while it is being sent.
+// The last reply to a peer, for others that get the same one while it is being sent.
 struct shared_reply {
-    store_position mirror_position;
-    store_position requested;
     std::weak_ptr<const std::string> text;
 };
 
@@ -56,13 +54,14 @@
     if (!core.mirror_is_verified) {
         return std::make_shared<const std::string>();
     }
-    auto text = last.text.lock();
-    if (!text || last.mirror_position != core.mirror.position || last.requested != position) {
-        text = std::make_shared<const std::string>(
-            make_changes_reply(core.mirror, position).SerializeAsString());
-        last = {core.mirror.position, position, text};
+    std::string text = make_changes_reply(core.mirror, position).SerializeAsString();
+    // Compared by its bytes: items may also be removed without a new position of the mirror.
+    auto shared = last.text.lock();
+    if (!shared || *shared != text) {
+        shared = std::make_shared<const std::string>(std::move(text));
+        last.text = shared;
     }
-    return text;
+    return shared;
 }
 
 // Returns the position whose later changes are to be requested from a peer: zero for all changes, if the
