--- a/packages/proxy/steering_node.cpp
+++ b/packages/proxy/steering_node.cpp
@@ -77,6 +77,14 @@
 #endif
 }
 
+// Limits what the kernel takes for the connections that the listener will accept, if the memory is limited.
+void limit_send_queues(const node_core& core, tcp::acceptor& acceptor) {
+    const auto& budget = core.memory.budget;
+    if (budget.has_value()) {
+        limit_unsent_bytes(acceptor.native_handle(), budget->unsent_bytes);
+    }
+}
+
 // The listeners, connections and background tasks of a running VM.
 class running_node {
 public:
@@ -104,9 +112,7 @@
             if (const error_code error = bind_and_listen(*acceptor, address)) {
                 return tl::unexpected(format_address(address) + ": " + error.message());
             }
-            if (const auto& budget = this->core.memory.budget) {
-                limit_unsent_bytes(acceptor->native_handle(), budget->unsent_bytes);
-            }
+            limit_send_queues(this->core, *acceptor);
         }
         if (const error_code error = this->gossip.open()) {
             return tl::unexpected(format_address(settings.gossip_address) + ": " + error.message());
