Read responses of the store for as long as they arrive

A VM that missed a large configuration kept the old one in the same way.

Cause: a call of the store had 900 ms for connecting, sending and the whole response, whose size nobody bounds. A response that takes longer was given up each time, however steadily it arrived.

Event 623 and metrics tell these apart, and by which means a VM learned of changes. A watch now proves the store's contents up to when its response began to arrive, not until it has ended, since that may be long after.

Evidence: of 'slow store' six rows failed before (no VM ready within 10 s for a response of 3 s; the change not in force within 8 s; no too_slow counted), all pass now.

--- a/packages/proxy/metadata_store.cpp
+++ b/packages/proxy/metadata_store.cpp
@@ -14,6 +14,10 @@
         return "rejected";
     case store_failure::malformed:
         return "malformed";
+    case store_failure::stalled:
+        return "stalled";
+    case store_failure::too_slow:
+        return "too_slow";
     }
     return "unknown";
 }
--- a/packages/proxy/metadata_store.h
+++ b/packages/proxy/metadata_store.h
@@ -26,7 +26,11 @@
     // A precondition failed, or the lease does not exist.
     rejected,
     // The response could not be parsed.
-    malformed
+    malformed,
+    // The response began and then stopped arriving, or arrived too slowly; see store_transfer.h. A call that
+    // writes may have taken effect.
+    stalled,
+    too_slow
 };
 
 // Result of a read or watch: the items or changes, and the position of the store that they correspond to.
@@ -36,6 +40,17 @@
     auto operator<=>(const store_read_result&) const = default;
 };
 
+// The course of a call, for logs and metrics.
+struct store_call_report {
+    // Bytes of the responses, and what their headers announced of their bodies.
+    std::uint64_t received_bytes = 0;
+    std::uint64_t announced_bytes = 0;
+    milliseconds duration{};
+    // When the last response began to arrive. The store's contents are known up to then.
+    instant responded_at;
+    auto operator<=>(const store_call_report&) const = default;
+};
+
 // A lease and the time after which it expires unless it is renewed.
 struct store_lease {
     std::uint64_t id = 0;
@@ -77,6 +92,8 @@
     virtual store_result<store_lease> renew_lease(store_lease lease) = 0;
     // Removes an item if `position` is its last write; fails with `rejected` otherwise.
     virtual store_result<bool> remove(std::string key, store_position position) = 0;
+    // Returns the course of the calls since this function was called last.
+    virtual store_call_report take_report() = 0;
 };
 
 // Returns the name of the failure as it appears in the log and in metric labels.
--- a/packages/proxy/node_core.cpp
+++ b/packages/proxy/node_core.cpp
@@ -159,15 +159,6 @@
     return has_same_contents ? peer.last_heard.value_or(instant{}) : instant{};
 }
 
-// Returns up to when this VM knows the contents of the store, from its own calls or through a peer.
-instant store_known_until(const node_core& core) {
-    instant known_until = core.store_known_at;
-    for (const auto& [name, peer] : core.peers.by_name) {
-        known_until = std::max(known_until, store_known_through(peer, core));
-    }
-    return known_until;
-}
-
 void apply_store_change(node_core& core, const store_change& change) {
     const auto decoded = core.platform.decode(change);
     if (!decoded) {
@@ -179,6 +170,14 @@
 
 } // namespace
 
+instant store_known_until(const node_core& core) {
+    instant known_until = core.store_known_at;
+    for (const auto& [name, peer] : core.peers.by_name) {
+        known_until = std::max(known_until, store_known_through(peer, core));
+    }
+    return known_until;
+}
+
 void merge_store_read(node_core& core, const store_read& read) {
     const store_position previous = core.mirror.position;
     if (read.position.epoch < previous.epoch) {
--- a/packages/proxy/node_core.h
+++ b/packages/proxy/node_core.h
@@ -158,7 +158,7 @@
     // From when on the outdated target entries of a restored store may take effect; unset if there are none.
     std::optional<instant> outdated_entries_due_at;
     // Up to when this VM knows the contents of the store from its own calls: the start of the last read, or
-    // the end of the last watch.
+    // when the response to the last watch began.
     instant store_known_at;
     // Whether the last store call failed, and since when calls have failed.
     bool store_is_unavailable = false;
@@ -249,6 +249,9 @@
 // again. A read of an earlier epoch, which arrives after a peer's changes of a later one, is ignored.
 void merge_store_read(node_core& core, const store_read& read);
 
+// Returns up to when this VM knows the contents of the store, from its own calls or through a peer.
+[[nodiscard]] instant store_known_until(const node_core& core);
+
 // Removes the mirror's items of earlier epochs once they are due: they were not written again after the store
 // was restored. Does nothing while neither this VM nor one that reports to it has read the store since then.
 void remove_lost_items(node_core& core);
--- a/packages/proxy/node_log.h
+++ b/packages/proxy/node_log.h
@@ -29,6 +29,7 @@
     store_unavailable = 620,
     store_recovered = 621,
     store_restored = 622,
+    store_transfer = 623,
     request_answered = 630,
     request_refused = 631,
     request_failed = 632,
--- a/packages/proxy/node_metrics.cpp
+++ b/packages/proxy/node_metrics.cpp
@@ -7,12 +7,17 @@
 
 namespace {
 
-// Appends one counter line per outcome.
+// Appends one counter line per value of the label.
+void append_by_label(std::string& text, const char* name, const char* label,
+                     const std::map<std::string, std::uint64_t>& counters) {
+    for (const auto& [value, count] : counters) {
+        text += fmt::format("cassiaspan_{}_total{{{}=\"{}\"}} {}\n", name, label, value, count);
+    }
+}
+
 void append_by_outcome(std::string& text, const char* name,
                        const std::map<std::string, std::uint64_t>& counters) {
-    for (const auto& [outcome, count] : counters) {
-        text += fmt::format("cassiaspan_{}_total{{outcome=\"{}\"}} {}\n", name, outcome, count);
-    }
+    append_by_label(text, name, "outcome", counters);
 }
 
 // Appends a counter without labels.
@@ -38,6 +43,9 @@
     append_by_outcome(text, "relayed", metrics.relayed_by_outcome);
     append_by_outcome(text, "relay_attempts", metrics.relay_attempts_by_outcome);
     append_by_outcome(text, "store_calls", metrics.store_calls_by_outcome);
+    append_by_label(text, "store_bytes", "call", metrics.store_bytes_by_call);
+    append_by_label(text, "store_call_ms", "call", metrics.store_ms_by_call);
+    append_by_label(text, "caught_up", "by", metrics.caught_up_by_means);
     for (const auto& [label, count] : metrics.admissions) {
         text +=
             fmt::format("cassiaspan_admission_total{{service=\"{}\",priority=\"{}\",decision=\"{}\"}} {}\n",
@@ -69,6 +77,10 @@
     return text;
 }
 
+std::string render_store_age(milliseconds age) {
+    return fmt::format("cassiaspan_store_age_ms {}\n", age.count());
+}
+
 std::string render_target_slowdowns(std::vector<std::uint32_t> percents) {
     if (percents.empty()) {
         return "";
--- a/packages/proxy/node_metrics.h
+++ b/packages/proxy/node_metrics.h
@@ -45,6 +45,11 @@
     std::map<std::string, std::uint64_t> relayed_by_outcome;
     std::map<std::string, std::uint64_t> relay_attempts_by_outcome;
     std::map<std::string, std::uint64_t> store_calls_by_outcome;
+    // Bytes of the store's responses, and the time of the calls in milliseconds, by call.
+    std::map<std::string, std::uint64_t> store_bytes_by_call;
+    std::map<std::string, std::uint64_t> store_ms_by_call;
+    // Advances of the mirror, by what brought the changes: "watch", "full_read" or "pull".
+    std::map<std::string, std::uint64_t> caught_up_by_means;
     // Requests of services with classes, by what admission control decided.
     std::map<admission_label, std::uint64_t> admissions;
     std::uint64_t target_connections = 0;
@@ -71,6 +76,9 @@
 // Returns the metrics in the Prometheus text format.
 [[nodiscard]] std::string render(const node_metrics& metrics);
 
+// Returns the gauge of how long ago the VM last knew the store's contents, in milliseconds.
+[[nodiscard]] std::string render_store_age(milliseconds age);
+
 // Returns the gauge of the figures that targets report about their current speed, in percent: their number,
 // minimum, median and maximum. Returns an empty text if there are none.
 [[nodiscard]] std::string render_target_slowdowns(std::vector<std::uint32_t> percents);
--- a/packages/proxy/simple_http_service.cpp
+++ b/packages/proxy/simple_http_service.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 // Closes a connection if a request and its response take longer, including the wait for the request.
+// Responses have a bounded size: a lookup lists at most max_addresses, the metrics grow with services and
+// targets.
 constexpr milliseconds idle_timeout{5000};
 constexpr milliseconds client_silence_timeout{3000};
 constexpr std::uint32_t max_request_header_bytes = 8 * 1024;
@@ -230,10 +232,12 @@
     for (const auto& [key, item] : core.mirror.items) {
         store_bytes += key.size() + item.value.size();
     }
+    const instant now = now_of(core);
+    const auto store_age = std::chrono::floor<milliseconds>(now - store_known_until(core));
     return make_response(request, http::status::ok,
-                         render(core.metrics) + render(core.memory, store_bytes) +
-                             render_region_shares(core) +
-                             render_target_slowdowns(recent_speed_percents(core.targets, now_of(core))));
+                         render(core.metrics) + render_store_age(store_age) +
+                             render(core.memory, store_bytes) + render_region_shares(core) +
+                             render_target_slowdowns(recent_speed_percents(core.targets, now)));
 }
 
 } // namespace cassiaspan
--- a/packages/proxy/store_sync.cpp
+++ b/packages/proxy/store_sync.cpp
@@ -345,6 +345,7 @@
         changes.push_back({encoded.key(), {encoded.value(), change_position, encoded.removed()}});
     }
     ++core.metrics.news_pulled;
+    ++core.metrics.caught_up_by_means["pull"];
     merge_store_read(core, {changes, position, is_snapshot, reply.verified()});
 }
 
--- a/packages/proxy/store_watcher.cpp
+++ b/packages/proxy/store_watcher.cpp
@@ -61,6 +61,33 @@
     }
 }
 
+// Adds the course of a call to the metrics, and logs it if it failed after it had begun to bring something,
+// or read all items.
+void record_transfer(node_core& core, const store_call_report& report, const char* what,
+                     const char* outcome) {
+    core.metrics.store_bytes_by_call[what] += report.received_bytes;
+    core.metrics.store_ms_by_call[what] += static_cast<std::uint64_t>(report.duration.count());
+    const std::string_view why = outcome;
+    const bool is_logged = why == "answered" ? std::string_view(what) == "read"
+                                             : report.received_bytes != 0 && why != "history_lost";
+    if (is_logged) {
+        core.log.write(now_of(core), node_event::store_transfer,
+                       log_fields()
+                           .add("call", what)
+                           .add("why", outcome)
+                           .add("received_bytes", report.received_bytes)
+                           .add("announced_bytes", report.announced_bytes)
+                           .add("duration_ms", report.duration.count()));
+    }
+}
+
+// Counts by which means the VM learned of changes, if its mirror has passed `previous`.
+void count_progress(node_core& core, store_position previous, const char* means) {
+    if (core.mirror.position > previous) {
+        ++core.metrics.caught_up_by_means[means];
+    }
+}
+
 // Waits before the next attempt and doubles `retry_delay` up to the maximum. Random jitter of 50 to 100 % of
 // the delay prevents the VMs from retrying at the same time. `factor` lengthens the delay.
 asio::awaitable<void> back_off(node_core& core, milliseconds& retry_delay, int factor = 1) {
@@ -76,14 +103,15 @@
     const auto read = co_await store.read_all(watched_prefix);
     // A response of an earlier epoch adds nothing to the mirror, which the next watch would continue from.
     const bool is_outdated = read && read->position.epoch < core.mirror.position.epoch;
-    record_call_result(core, read && !is_outdated, "read",
-                       is_outdated ? "outdated"
-                       : read      ? "answered"
-                                   : to_string(read.error()));
+    const char* outcome = is_outdated ? "outdated" : read ? "answered" : to_string(read.error());
+    record_call_result(core, read && !is_outdated, "read", outcome);
+    record_transfer(core, store.take_report(), "read", outcome);
     if (!read || is_outdated) {
         co_return false;
     }
+    const store_position previous = core.mirror.position;
     merge_store_read(core, {read->changes, read->position, true});
+    count_progress(core, previous, "full_read");
     core.store_known_at = started_at;
     co_return true;
 }
@@ -130,8 +158,10 @@
             core.own_store_access == store_access::reading ? watch_timeout : milliseconds(0);
         const auto events = co_await store.watch(watched_prefix, core.mirror.position, wait);
         const bool history_was_lost = !events && events.error() == store_failure::history_lost;
-        record_call_result(core, events || history_was_lost, "watch",
-                           events ? "answered" : to_string(events.error()));
+        const char* outcome = events ? "answered" : to_string(events.error());
+        const store_call_report report = store.take_report();
+        record_call_result(core, events || history_was_lost, "watch", outcome);
+        record_transfer(core, report, "watch", outcome);
         if (history_was_lost) {
             // A store whose revisions go back within an epoch loses the history again and again.
             co_await sleep_for(core.context, batch_delay);
@@ -142,9 +172,11 @@
             continue;
         }
         retry_delay = initial_retry_delay;
+        const store_position previous = core.mirror.position;
         merge_store_read(core, {events->changes, events->position, false});
+        count_progress(core, previous, "watch");
         if (events->position.epoch == core.mirror.position.epoch) {
-            core.store_known_at = now_of(core);
+            core.store_known_at = std::max(core.store_known_at, report.responded_at);
         }
         if (!events->changes.empty()) {
             co_await sleep_for(core.context, batch_delay);
