Read all items instead of a costly history of changes

Cause: the store returns each write to a watch, so that what a VM missed, 14 MB, can be many times what it leads to, 0.55 MB. A watch that failed was repeated from the same position until the store had forgotten it. Reading it to the end would be as late.

Change: should_read_all_items, a function over plain values, weighs the rest of a watch against reading all items, by their bytes, the rate of the link, and for how long the VM has known that it is behind.

Why it works: a read of all items costs no more than the store holds, whatever was missed, and ends at the newest position.

--- a/packages/policy/store_transfer.cpp
+++ b/packages/policy/store_transfer.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+milliseconds transfer_time(std::uint64_t bytes, std::uint64_t bytes_per_second) {
+    constexpr std::uint64_t ms_per_second = 1000;
+    const std::uint64_t rate = std::max<std::uint64_t>(1, bytes_per_second);
+    return milliseconds(static_cast<std::int64_t>(bytes * ms_per_second / rate));
+}
+
 bool is_too_slow(const transfer_progress& progress) {
     return progress.received_bytes - progress.bytes_before_interval < min_bytes_per_interval;
 }
@@ -50,4 +56,32 @@
     return is_too_slow(progress) ? std::min(silence_end, interval_end) : silence_end;
 }
 
+std::optional<std::uint64_t> measure_rate(const transfer_progress& progress, instant now) {
+    constexpr std::uint64_t us_per_second = 1'000'000;
+    const std::uint64_t bytes = progress.received_bytes - progress.first_bytes;
+    if (!progress.first_arrival || bytes < min_measured_bytes) {
+        return std::nullopt;
+    }
+    const auto time = std::chrono::floor<microseconds>(now - *progress.first_arrival);
+    const auto time_us = std::max<std::uint64_t>(1, static_cast<std::uint64_t>(time.count()));
+    return bytes * us_per_second / time_us;
+}
+
+std::uint64_t expected_remaining_bytes(const transfer_progress& progress) {
+    if (!progress.announced_bytes) {
+        return progress.received_bytes;
+    }
+    return *progress.announced_bytes - std::min(*progress.announced_bytes, progress.received_bytes);
+}
+
+bool should_read_all_items(const catch_up_options& options) {
+    if (options.remaining_bytes <= options.full_read_bytes) {
+        return false;
+    }
+    const milliseconds rest_time = transfer_time(options.remaining_bytes, options.bytes_per_second);
+    const milliseconds full_read_time =
+        options.call_latency + transfer_time(options.full_read_bytes, options.bytes_per_second);
+    return rest_time > full_read_time && options.known_age + rest_time + full_read_time > max_change_age;
+}
+
 } // namespace cassiaspan
--- a/packages/policy/store_transfer.h
+++ b/packages/policy/store_transfer.h
@@ -1,5 +1,6 @@
 // Decides how long a VM goes on reading a response of the store, whose size neither the store nor the VM
-// bounds. A response may take as long as it needs while it arrives at a useful rate.
+// bounds. A response may take as long as it needs while it arrives at a useful rate. The changes that a watch
+// returns are given up when reading all items instead brings the VM up to date sooner.
 #pragma once
 
 #include "clock.h"
@@ -17,6 +18,13 @@
 // slowest link that a VM is expected to have.
 constexpr milliseconds transfer_rate_interval{5000};
 constexpr std::uint64_t min_bytes_per_interval = std::uint64_t{64} * 1024;
+// Rate of a link that has not been measured, in bytes per second: that of the slowest expected one, 10
+// Mbit/s.
+constexpr std::uint64_t default_bytes_per_second = 1'250'000;
+// Transfers of fewer bytes do not show the rate of the link.
+constexpr std::uint64_t min_measured_bytes = std::uint64_t{64} * 1024;
+// A change has to be in force this long after the store has acknowledged it.
+constexpr milliseconds max_change_age{2500};
 
 // The course of one call, in bytes of the response's body.
 struct transfer_progress {
@@ -57,4 +65,31 @@
 // Returns when the transfer has to be checked again unless bytes arrive before.
 [[nodiscard]] instant next_transfer_check(const transfer_progress& progress);
 
+// Returns the rate at which the link has carried the response since it began, bytes per second; unset if too
+// few bytes have arrived to tell.
+[[nodiscard]] std::optional<std::uint64_t> measure_rate(const transfer_progress& progress, instant now);
+
+// What a VM knows when it decides between the changes that a watch returns and all items.
+struct catch_up_options {
+    // Bytes that are still to arrive of the changes.
+    std::uint64_t remaining_bytes = 0;
+    // Bytes of all items, as responses of the store contain them.
+    std::uint64_t full_read_bytes = 0;
+    // Rate of the link, bytes per second.
+    std::uint64_t bytes_per_second = default_bytes_per_second;
+    // Time from a call until its response begins.
+    milliseconds call_latency{};
+    // For how long the VM has known that it may lack changes.
+    milliseconds known_age{};
+    auto operator<=>(const catch_up_options&) const = default;
+};
+
+// Returns how many bytes are still to arrive. Of a response that does not announce its size, as many are
+// expected as have arrived.
+[[nodiscard]] std::uint64_t expected_remaining_bytes(const transfer_progress& progress);
+
+// Returns whether to give up the changes and read all items. Not while the rest of the changes is as small as
+// all items, or arrives soon enough that the changes after them can be read before they must be in force.
+[[nodiscard]] bool should_read_all_items(const catch_up_options& options);
+
 } // namespace cassiaspan
--- a/packages/proxy/metadata_store.cpp
+++ b/packages/proxy/metadata_store.cpp
@@ -2,6 +2,19 @@
 
 namespace cassiaspan {
 
+std::uint64_t estimate_full_read_bytes(const store_mirror& mirror) {
+    // Names of an item's fields, its revisions and its lease.
+    constexpr std::uint64_t field_bytes = 128;
+    std::uint64_t bytes = 0;
+    for (const auto& [key, item] : mirror.items) {
+        if (!item.removed) {
+            // Base64 represents three bytes by four.
+            bytes += key.size() + item.value.size() * 4 / 3 + field_bytes;
+        }
+    }
+    return bytes;
+}
+
 const char* to_string(store_failure failure) {
     switch (failure) {
     case store_failure::unanswered:
@@ -18,6 +31,10 @@
         return "stalled";
     case store_failure::too_slow:
         return "too_slow";
+    case store_failure::oversized:
+        return "oversized";
+    case store_failure::superseded:
+        return "superseded";
     }
     return "unknown";
 }
--- a/packages/proxy/metadata_store.h
+++ b/packages/proxy/metadata_store.h
@@ -30,7 +30,11 @@
     // The response began and then stopped arriving, or arrived too slowly; see store_transfer.h. A call that
     // writes may have taken effect.
     stalled,
-    too_slow
+    too_slow,
+    // The response is larger than any that the store should send, or than is worth reading: the changes that
+    // a watch returns cost more than all items. Reading all items instead may succeed.
+    oversized,
+    superseded
 };
 
 // Result of a read or watch: the items or changes, and the position of the store that they correspond to.
@@ -40,6 +44,15 @@
     auto operator<=>(const store_read_result&) const = default;
 };
 
+// What a watch has to cost less than: reading all items.
+struct watch_alternative {
+    // Bytes of all items, as responses of the store contain them.
+    std::uint64_t full_read_bytes = 0;
+    // For how long the VM has known that it may lack changes.
+    milliseconds known_age{};
+    auto operator<=>(const watch_alternative&) const = default;
+};
+
 // The course of a call, for logs and metrics.
 struct store_call_report {
     // Bytes of the responses, and what their headers announced of their bodies.
@@ -80,8 +93,9 @@
     // was restored during the read.
     virtual store_result<store_read_result> read_all(std::string prefix) = 0;
     // Long poll: waits up to `wait` for changes after `position` and returns them; no changes on expiry.
+    // Fails with `superseded` or `oversized` if they should be learned from `alternative` instead.
     virtual store_result<store_read_result> watch(std::string prefix, store_position position,
-                                                  milliseconds wait) = 0;
+                                                  milliseconds wait, watch_alternative alternative) = 0;
     // Writes an item that the store removes when its lease ends. Returns the position of the write. Fails
     // with `rejected` if the store has been restored since the lease was granted.
     virtual store_result<store_position> put(std::string key, std::string value, store_lease lease) = 0;
@@ -96,6 +110,9 @@
     virtual store_call_report take_report() = 0;
 };
 
+// Returns the bytes of all items of the mirror as responses of the store contain them.
+[[nodiscard]] std::uint64_t estimate_full_read_bytes(const store_mirror& mirror);
+
 // Returns the name of the failure as it appears in the log and in metric labels.
 [[nodiscard]] const char* to_string(store_failure failure);
 
--- a/packages/proxy/store_watcher.cpp
+++ b/packages/proxy/store_watcher.cpp
@@ -143,8 +143,22 @@
     }
 }
 
-// Watches for changes until those after the mirror's position are unknown to the store, or the mirror is not
-// verified, so that the whole store must be read again. Retries failed calls with backoff.
+// Returns what a watch has to cost less than.
+watch_alternative describe_full_read(const node_core& core) {
+    const bool is_in_touch = core.own_store_access == store_access::reading;
+    const auto age = std::chrono::floor<milliseconds>(now_of(core) - core.store_known_at);
+    return {estimate_full_read_bytes(core.mirror), is_in_touch ? milliseconds(0) : age};
+}
+
+// Returns whether the whole store must be read, because the changes since the mirror's position are unknown
+// to the store or not worth reading.
+bool requires_full_read(store_failure failure) {
+    return failure == store_failure::history_lost || failure == store_failure::superseded ||
+           failure == store_failure::oversized;
+}
+
+// Watches for changes until they can no longer be learned in this way, or the mirror is not verified, so that
+// the whole store must be read again. Retries failed calls with backoff.
 asio::awaitable<void> watch_changes(node_core& core, metadata_store& store) {
     milliseconds retry_delay = initial_retry_delay;
     for (;;) {
@@ -156,14 +170,15 @@
         // be reached.
         const milliseconds wait =
             core.own_store_access == store_access::reading ? watch_timeout : milliseconds(0);
-        const auto events = co_await store.watch(watched_prefix, core.mirror.position, wait);
-        const bool history_was_lost = !events && events.error() == store_failure::history_lost;
+        const watch_alternative alternative = describe_full_read(core);
+        const auto events = co_await store.watch(watched_prefix, core.mirror.position, wait, alternative);
+        const bool must_read_anew = !events && requires_full_read(events.error());
         const char* outcome = events ? "answered" : to_string(events.error());
         const store_call_report report = store.take_report();
-        record_call_result(core, events || history_was_lost, "watch", outcome);
+        record_call_result(core, events || must_read_anew, "watch", outcome);
         record_transfer(core, report, "watch", outcome);
-        if (history_was_lost) {
-            // A store whose revisions go back within an epoch loses the history again and again.
+        if (must_read_anew) {
+            // The store may respond in the same way again and again.
             co_await sleep_for(core.context, batch_delay);
             co_return;
         }
