Let peers take replies for as long as they take them

The same class of fault as in the reads of the store: a connection of a peer was closed 20 s after it was accepted. A VM whose link serves many peers at once cut all of their pulls, which then began anew.

Change: the limit starts anew with each 64 KiB of replies that the peer takes. A peer that takes nothing is closed as before, and gives way to others earlier.

Evidence: 'store sync/of a reply that takes minutes of the source's time' failed before (not pulled within 60 s) and passes now.

--- a/packages/proxy/store_sync.cpp
+++ b/packages/proxy/store_sync.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 
 namespace cassiaspan {
 
@@ -22,21 +23,24 @@
 // receiving the store's responses.
 constexpr milliseconds max_mirror_lag{250};
 constexpr milliseconds sync_check_interval{100};
-// A request that makes no progress for this time is abandoned. Other peers are asked long before that: see
-// may_start_pull(). On a full link, a round trip may take some seconds.
+// A request that makes no progress for this time is abandoned; connecting counts as one step. Other peers are
+// asked long before that: see may_start_pull(). On a full link, a round trip may take some seconds.
 constexpr milliseconds pull_timeout{10'000};
 constexpr milliseconds peer_socket_timeout{10'000};
 // Limits of a connection's requests, which consist of a position. Each has a reply that holds up to all
 // items.
 constexpr std::size_t max_request_bytes = 1024;
 constexpr std::uint32_t max_open_requests = 4;
-// Limit of a reply. It holds all items of the store if the requesting VM has none of them.
+// Limit of a reply, which protects the memory of the VM. A reply holds all items of the store if the
+// requesting VM has none of them: sixty of the largest ones.
 constexpr std::size_t max_reply_bytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
 // Bytes of replies that are taken out of a session at a time.
 constexpr std::size_t output_chunk_bytes = std::size_t{16} * 1024;
-// An incoming connection is closed after this time, idle or not. A peer opens only a few streams on one.
+// An incoming connection is closed after this time, unless the peer has meanwhile taken so many bytes of
+// replies. A peer opens only a few streams on one.
 constexpr milliseconds connection_time_limit{20'000};
+constexpr std::size_t renewing_bytes = std::size_t{64} * 1024;
 
 // The last reply to a peer, for others that get the same one while it is being sent.
 struct shared_reply {
@@ -80,10 +84,38 @@
     return request.SerializeAsString();
 }
 
-// Writes the session's pending output. Records the progress in `listed` unless that is null. Returns false if
-// the connection failed.
-asio::awaitable<bool> send_output(const node_core& core, tcp::socket& socket, h2_session& session,
-                                  evictable* listed = nullptr) {
+// The time limit of an incoming connection, which starts anew as the peer takes replies.
+class reply_time_limit {
+public:
+    reply_time_limit(node_core& core_in, std::shared_ptr<tcp::socket> socket_in)
+        : core(core_in), socket(std::move(socket_in)) {
+        this->start();
+    }
+    void record_sent(std::size_t bytes) {
+        this->sent_bytes += bytes;
+        if (this->sent_bytes >= renewing_bytes) {
+            this->start();
+        }
+    }
+
+private:
+    void start() {
+        this->sent_bytes = 0;
+        this->timeout.emplace(this->core, this->socket, connection_time_limit);
+    }
+
+    node_core& core;
+    std::shared_ptr<tcp::socket> socket;
+    std::size_t sent_bytes = 0;
+    std::optional<socket_timeout> timeout;
+};
+
+// Called with the number of bytes of each write.
+using progress_observer = std::function<void(std::size_t bytes)>;
+
+// Writes the session's pending output. Returns false if the connection failed.
+asio::awaitable<bool> send_output(tcp::socket& socket, h2_session& session,
+                                  progress_observer observer = nullptr) {
     for (;;) {
         const std::string output = session.take_output(output_chunk_bytes);
         if (output.empty()) {
@@ -98,8 +130,8 @@
                 co_return false;
             }
             sent += written;
-            if (listed != nullptr) {
-                listed->record_progress(written, now_of(core));
+            if (observer) {
+                observer(written);
             }
         }
     }
@@ -144,7 +176,7 @@
             }
         },
         max_request_bytes, max_open_requests);
-    const socket_timeout timeout(core, socket, connection_time_limit);
+    reply_time_limit time_limit(core, socket);
     const auto close = [&socket] {
         error_code ignored;
         socket->close(ignored);
@@ -159,7 +191,11 @@
         is_ok = count > 0;
         if (is_ok) {
             evictable writing(connections.slow_readers, peer, now_of(core), {}, close);
-            is_ok = co_await send_output(core, *socket, *session, &writing);
+            progress_observer observer = [&core, &writing, &time_limit](std::size_t bytes) {
+                writing.record_progress(bytes, now_of(core));
+                time_limit.record_sent(bytes);
+            };
+            is_ok = co_await send_output(*socket, *session, std::move(observer));
         }
     }
 }
@@ -276,7 +312,7 @@
     while (is_ok && !reply) {
         pull.last_progress = now_of(core);
         timeout.emplace(core, pull.socket, pull_timeout);
-        is_ok = co_await send_output(core, *pull.socket, *session);
+        is_ok = co_await send_output(*pull.socket, *session);
         if (is_ok) {
             const std::size_t count = co_await receive_input(*pull.socket, *session);
             pull.received_bytes += count;
