--- a/packages/policy/store_transfer.h
+++ b/packages/policy/store_transfer.h
@@ -26,7 +26,7 @@
 // A change has to be in force this long after the store has acknowledged it.
 constexpr milliseconds max_change_age{2500};
 
-// The course of one call, in bytes of the response's body.
+// The course of one call, in bytes of the response.
 struct transfer_progress {
     instant started_at;
     // Since when no byte has arrived; later than `started_at` if the store was allowed to wait.
@@ -35,7 +35,7 @@
     // When the first bytes arrived, and how many.
     std::optional<instant> first_arrival;
     std::uint64_t first_bytes = 0;
-    // Size that the response's header announces; unset if it announces none.
+    // Size of the body that the response's header announces; unset if it announces none.
     std::optional<std::uint64_t> announced_bytes;
     // Start of the current interval of the rate check, and what had been received by then.
     instant interval_start;
--- a/packages/proxy/store_watcher.cpp
+++ b/packages/proxy/store_watcher.cpp
@@ -29,10 +29,12 @@
 constexpr milliseconds record_poll_interval{200};
 // Factor for the pauses between failed renewals: the lease outlasts several of them.
 constexpr int renewal_retry_factor = 4;
+// Name of a read of all items in the log and in metric labels.
+constexpr std::string_view read_call = "read";
 
 // Counts a store call in the metrics, and logs when the store becomes unavailable and when it recovers.
 // `what` and `outcome` form the metric label.
-void record_call_result(node_core& core, bool succeeded, const char* what, const char* outcome) {
+void record_call_result(node_core& core, bool succeeded, std::string_view what, const char* outcome) {
     const instant now = now_of(core);
     ++core.metrics.store_calls_by_outcome[std::string(what) + "_" + outcome];
     core.own_store_access = succeeded ? store_access::reading : store_access::unreachable;
@@ -61,20 +63,32 @@
     }
 }
 
-// Adds the course of a call to the metrics, and logs it if it failed after it had begun to bring something,
-// or read all items.
-void record_transfer(node_core& core, const store_call_report& report, const char* what,
-                     const char* outcome) {
-    core.metrics.store_bytes_by_call[what] += report.received_bytes;
-    core.metrics.store_ms_by_call[what] += static_cast<std::uint64_t>(report.duration.count());
-    const std::string_view why = outcome;
-    const bool is_logged = why == "answered" ? std::string_view(what) == "read"
-                                             : report.received_bytes != 0 && why != "history_lost";
-    if (is_logged) {
+// Returns whether a response was not read to its end.
+bool ends_early(store_failure failure) {
+    switch (failure) {
+    case store_failure::unanswered:
+    case store_failure::stalled:
+    case store_failure::too_slow:
+    case store_failure::oversized:
+    case store_failure::superseded:
+        return true;
+    default:
+        return false;
+    }
+}
+
+// Adds the course of a call to the metrics, and logs it if all items were read, or if a part of the response
+// arrived in vain. `failure` is empty if the call succeeded.
+void record_transfer(node_core& core, const store_call_report& report, std::string_view what,
+                     std::optional<store_failure> failure) {
+    core.metrics.store_bytes_by_call[std::string(what)] += report.received_bytes;
+    core.metrics.store_ms_by_call[std::string(what)] += static_cast<std::uint64_t>(report.duration.count());
+    const bool is_full_read = !failure && what == read_call;
+    if (is_full_read || (failure && ends_early(*failure) && report.received_bytes != 0)) {
         core.log.write(now_of(core), node_event::store_transfer,
                        log_fields()
                            .add("call", what)
-                           .add("why", outcome)
+                           .add("why", failure ? to_string(*failure) : "answered")
                            .add("received_bytes", report.received_bytes)
                            .add("announced_bytes", report.announced_bytes)
                            .add("duration_ms", report.duration.count()));
@@ -104,8 +118,8 @@
     // A response of an earlier epoch adds nothing to the mirror, which the next watch would continue from.
     const bool is_outdated = read && read->position.epoch < core.mirror.position.epoch;
     const char* outcome = is_outdated ? "outdated" : read ? "answered" : to_string(read.error());
-    record_call_result(core, read && !is_outdated, "read", outcome);
-    record_transfer(core, store.take_report(), "read", outcome);
+    record_call_result(core, read && !is_outdated, read_call, outcome);
+    record_transfer(core, store.take_report(), read_call, read ? std::nullopt : std::optional(read.error()));
     if (!read || is_outdated) {
         co_return false;
     }
@@ -176,7 +190,7 @@
         const char* outcome = events ? "answered" : to_string(events.error());
         const store_call_report report = store.take_report();
         record_call_result(core, events || must_read_anew, "watch", outcome);
-        record_transfer(core, report, "watch", outcome);
+        record_transfer(core, report, "watch", events ? std::nullopt : std::optional(events.error()));
         if (must_read_anew) {
             // The store may respond in the same way again and again.
             co_await sleep_for(core.context, batch_delay);
